--- /dev/null
+++ b/src/cassiasail/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution for a service mesh, driven by two lists."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/cassiasail/_internal/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command."""
--- /dev/null
+++ b/src/cassiasail/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that involve other daemons or the store."""
--- /dev/null
+++ b/src/cassiasail/_internal/ids.py
@@ -0,0 +1,17 @@
+"""Identifier types shared by all layers."""
+
+from typing import NewType
+
+CustomerId = NewType("CustomerId", str)
+PlanId = NewType("PlanId", str)
+ServiceName = NewType("ServiceName", str)
+RoutePath = NewType("RoutePath", str)
+DaemonId = NewType("DaemonId", str)
+TargetId = NewType("TargetId", str)
+DataCentre = NewType("DataCentre", str)
+Region = NewType("Region", str)
+Version = NewType("Version", int)
+EditId = NewType("EditId", str)
+
+# Version of a daemon that has not yet received any configuration.
+NO_VERSION = Version(0)
--- /dev/null
+++ b/src/cassiasail/_internal/metrics.py
@@ -0,0 +1,89 @@
+"""Prometheus metrics of the daemon.
+
+Every refusal, retry and drop has a counter with its reason as a label. Other
+modules import the metric objects from here; none is defined elsewhere.
+"""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+REGISTRY = CollectorRegistry()
+
+INVARIANT_FAILURES = Counter(
+    "cassiasail_invariant_failures", "Failed checks.", ["name"], registry=REGISTRY
+)
+CALLS_ANSWERED = Counter(
+    "cassiasail_calls_answered", "Answers passed on.", ["service"], registry=REGISTRY
+)
+CALLS_REFUSED = Counter(
+    "cassiasail_calls_refused",
+    "Refusals sent to callers.",
+    ["reason", "executed"],
+    registry=REGISTRY,
+)
+CALLS_RETRIED = Counter(
+    "cassiasail_calls_retried",
+    "Attempts after the first one, by the reason of the failure before.",
+    ["reason"],
+    registry=REGISTRY,
+)
+RETRIES_DENIED = Counter(
+    "cassiasail_retries_denied",
+    "Retries not made, by the rule that denied them.",
+    ["reason"],
+    registry=REGISTRY,
+)
+HOST_REFUSED = Counter(
+    "cassiasail_host_refused",
+    "Refusals by the daemon beside the target.",
+    ["reason"],
+    registry=REGISTRY,
+)
+FRAMES_DROPPED = Counter(
+    "cassiasail_frames_dropped",
+    "Call frames dropped, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+MESSAGES_REFUSED = Counter(
+    "cassiasail_messages_refused",
+    "Malformed or oversized peer messages, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+CONTROL_BYTES = Counter(
+    "cassiasail_control_bytes",
+    "Control bytes, by direction and whether they cross regions.",
+    ["direction", "scope"],
+    registry=REGISTRY,
+)
+CALL_BYTES = Counter(
+    "cassiasail_call_bytes",
+    "Bytes of call frames, by direction and whether they cross regions.",
+    ["direction", "scope"],
+    registry=REGISTRY,
+)
+VERSION = Gauge(
+    "cassiasail_version", "Configuration version in force.", registry=REGISTRY
+)
+VERSIONS_REFUSED = Counter(
+    "cassiasail_versions_refused",
+    "Versions refused or dropped, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+STORE_REQUESTS = Counter(
+    "cassiasail_store_requests",
+    "Requests to the platform, by operation and outcome.",
+    ["operation", "outcome"],
+    registry=REGISTRY,
+)
+MEMBERS = Gauge(
+    "cassiasail_members", "Members known, by state.", ["state"], registry=REGISTRY
+)
+CALL_SECONDS = Histogram(
+    "cassiasail_call_seconds",
+    "Time from the head of a call to the end of its answer.",
+    ["service"],
+    registry=REGISTRY,
+    buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
+)
--- /dev/null
+++ b/src/cassiasail/_internal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, frames and refusals."""
--- /dev/null
+++ b/src/cassiasail/_internal/protocol/headers.py
@@ -0,0 +1,25 @@
+"""Names of the HTTP headers that callers, daemons and targets exchange."""
+
+CUSTOMER = "Cassiasail-Customer"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+# Remaining time in milliseconds, not a point in time: clocks of VMs differ.
+DEADLINE = "Cassiasail-Deadline"
+ATTEMPT = "Cassiasail-Attempt"
+DEPTH = "Cassiasail-Depth"
+REPLAYED = "Cassiasail-Replayed"
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    )
+)
--- /dev/null
+++ b/src/cassiasail/_internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data structures of one daemon; no input or output."""
--- /dev/null
+++ b/src/cassiasail/_internal/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to peers, callers, targets and the platform."""
--- /dev/null
+++ b/src/cassiasail/_internal/transport/store_http.py
@@ -0,0 +1,172 @@
+"""HTTP client of the platform's table service and object store.
+
+Every request has a timeout and draws on a token bucket, so that a daemon never
+exceeds its share of the platform's capacity.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import aiohttp
+import cbor2
+
+from .. import metrics
+from ..clock import Clock
+from ..coordination.store import (
+    Committed,
+    Condition,
+    Conflict,
+    Put,
+    Remove,
+    StoredRow,
+    StoreFailure,
+    StoreFailureReason,
+)
+
+READ_OPERATIONS = frozenset(("read", "scan", "get_object"))
+
+
+class HttpStore:
+    """Implements ``coordination.store.Store`` over HTTP with CBOR bodies.
+
+    ``timeout`` is in seconds per request, ``rate`` in requests per second with a
+    burst of twice that.
+    """
+
+    def __init__(
+        self, *, address: str, clock: Clock, timeout: float = 2.0, rate: float = 20.0
+    ) -> None:
+        self._base = f"http://{address}"
+        self._clock = clock
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._rate = rate
+        self._tokens = 2 * rate
+        self._refilled_at = clock.now()
+        self._session: aiohttp.ClientSession | None = None
+        # Time of the last request that got an answer, for the status page.
+        self.answered_at: float | None = None
+        self.last_failure: StoreFailure | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read(
+        self, keys: Sequence[str]
+    ) -> Mapping[str, StoredRow | None] | StoreFailure:
+        answer = await self._post("read", "/table/read", {"keys": list(keys)})
+        if isinstance(answer, StoreFailure):
+            return answer
+        return {key: _row(answer["rows"].get(key)) for key in keys}
+
+    async def scan(
+        self, prefix: str, *, limit: int = 1000, descending: bool = False
+    ) -> Mapping[str, StoredRow] | StoreFailure:
+        body = {"prefix": prefix, "limit": limit, "descending": descending}
+        answer = await self._post("scan", "/table/scan", body)
+        if isinstance(answer, StoreFailure):
+            return answer
+        found = ((key, _row(row)) for key, row in answer["rows"].items())
+        return {key: row for key, row in found if row is not None}
+
+    async def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Put | Remove]
+    ) -> Committed | Conflict | StoreFailure:
+        body = {
+            "conditions": [[item.key, item.revision] for item in conditions],
+            "puts": [
+                [item.key, item.value] for item in writes if isinstance(item, Put)
+            ],
+            "removes": [item.key for item in writes if isinstance(item, Remove)],
+        }
+        answer = await self._post("transact", "/table/transact", body)
+        if isinstance(answer, StoreFailure):
+            return answer
+        if answer["committed"]:
+            return Committed(revision=answer["revision"])
+        rows = {key: _row(row) for key, row in answer["rows"].items()}
+        return Conflict(rows_by_key=rows)
+
+    async def get_object(self, name: str) -> bytes | None | StoreFailure:
+        return await self._request("get_object", "GET", f"/objects/{name}", None)
+
+    async def put_object(self, name: str, data: bytes) -> None | StoreFailure:
+        answer = await self._request("put_object", "PUT", f"/objects/{name}", data)
+        return answer if isinstance(answer, StoreFailure) else None
+
+    async def _post(self, operation: str, path: str, body: Any) -> Any:
+        data = await self._request(operation, "POST", path, cbor2.dumps(body))
+        if isinstance(data, StoreFailure):
+            return data
+        try:
+            answer = cbor2.loads(data or b"")
+        except (cbor2.CBORDecodeError, ValueError):
+            return self._fail(operation, StoreFailureReason.MALFORMED, sent=True)
+        if not isinstance(answer, dict):
+            return self._fail(operation, StoreFailureReason.MALFORMED, sent=True)
+        return answer
+
+    async def _request(
+        self, operation: str, method: str, path: str, body: bytes | None
+    ) -> bytes | None | StoreFailure:
+        if not self._take_token():
+            return self._fail(operation, StoreFailureReason.BUDGET, sent=False)
+        try:
+            return await self._exchange(operation, method, path, body)
+        except aiohttp.ClientConnectorError:
+            return self._fail(operation, StoreFailureReason.UNREACHABLE, sent=False)
+        except TimeoutError:
+            return self._fail(operation, StoreFailureReason.TIMEOUT, sent=True)
+        except (aiohttp.ClientError, OSError):
+            return self._fail(operation, StoreFailureReason.UNREACHABLE, sent=True)
+
+    async def _exchange(
+        self, operation: str, method: str, path: str, body: bytes | None
+    ) -> bytes | None | StoreFailure:
+        session = self._open_session()
+        async with session.request(method, self._base + path, data=body) as response:
+            data = await response.read()
+            if response.status == 404 and operation == "get_object":
+                self._succeed(operation)
+                return None
+            # The platform answers 503 only when it has done nothing.
+            if response.status == 503:
+                return self._fail(operation, StoreFailureReason.UNAVAILABLE, sent=False)
+            if response.status >= 300:
+                return self._fail(operation, StoreFailureReason.UNAVAILABLE, sent=True)
+        self._succeed(operation)
+        return data
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=self._timeout)
+        return self._session
+
+    def _take_token(self) -> bool:
+        now = self._clock.now()
+        gained = (now - self._refilled_at) * self._rate
+        self._tokens = min(2 * self._rate, self._tokens + gained)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _succeed(self, operation: str) -> None:
+        self.answered_at = self._clock.now()
+        self.last_failure = None
+        metrics.STORE_REQUESTS.labels(operation, "ok").inc()
+
+    def _fail(
+        self, operation: str, reason: StoreFailureReason, *, sent: bool
+    ) -> StoreFailure:
+        metrics.STORE_REQUESTS.labels(operation, reason.value).inc()
+        writes = operation not in READ_OPERATIONS
+        failure = StoreFailure(reason=reason, effect_unknown=sent and writes)
+        self.last_failure = failure
+        return failure
+
+
+def _row(row: Any) -> StoredRow | None:
+    return None if row is None else StoredRow(value=row[0], revision=row[1])
