--- /dev/null
+++ b/devtools/layouts.py
@@ -0,0 +1,168 @@
+"""Test layouts: which VMs exist, where they are and what they run.
+
+Each VM has a loopback address of its own, 127.NET.CENTRE.VM, so that all daemons
+use the same ports, as they would on real VMs.
+"""
+
+import itertools
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+PEER_PORT = 7000
+HTTP_PORT = 8080
+ADMIN_PORT = 9090
+TARGET_PORT = 8000
+STORE_PORT = 6000
+FIRST_NET = 20
+LAST_NET = 220
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Vm:
+    """One VM with its daemon and target."""
+
+    name: str
+    region: str
+    data_centre: str
+    ip: str
+    service: str
+    slots: int
+
+    @property
+    def peer(self) -> str:
+        return f"{self.ip}:{PEER_PORT}"
+
+    @property
+    def http(self) -> str:
+        return f"{self.ip}:{HTTP_PORT}"
+
+    @property
+    def admin(self) -> str:
+        return f"{self.ip}:{ADMIN_PORT}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Layout:
+    """A deployment; ``region_delay_ms`` is one way, ``region_mbit`` for the region."""
+
+    name: str
+    vms: tuple[Vm, ...]
+    store: str
+    store_region: str
+    region_delay_ms: float
+    region_mbit: float
+
+    @property
+    def data_centres(self) -> tuple[str, ...]:
+        return tuple(dict.fromkeys(vm.data_centre for vm in self.vms))
+
+    def settings_of(self, vm: Vm, *, seeds: int = 3, extra: str = "") -> str:
+        """Return the INI settings of the daemon on ``vm``."""
+        others = [other.peer for other in self.vms if other is not vm]
+        in_region = sum(1 for other in self.vms if other.region == vm.region)
+        return f"""\
+[daemon]
+region = {vm.region}
+data_centre = {vm.data_centre}
+peer_address = {vm.peer}
+http_address = {vm.http}
+admin_address = {vm.admin}
+[store]
+address = {self.store}
+region = {self.store_region}
+[fleet]
+data_centres = {", ".join(self.data_centres)}
+seeds = {", ".join(others[:seeds])}
+[emulation]
+region_delay_ms = {self.region_delay_ms}
+region_mbit = {self.region_mbit / in_region}
+{extra}"""
+
+
+# Data centres with their region, and workers as (service, slots, data centre index).
+_UTILITY = (
+    (
+        ("kzn-1", "kzn-coast"),
+        ("kzn-2", "kzn-coast"),
+        ("ec-1", "ec-coast"),
+        ("ec-2", "ec-coast"),
+    ),
+    (("outlook-svc", 4), ("array-ctl", 4), ("tide-svc", 5)),
+    9,
+)
+_FOUNDATION = (
+    (
+        ("bogota-1", "andina"),
+        ("bogota-2", "andina"),
+        ("medellin-1", "antioquia"),
+        ("medellin-2", "antioquia"),
+    ),
+    (("conteos", 4), ("certificados", 4), ("series", 5)),
+    18,
+)
+_DEPLOYMENT_BY_NAME = {"utility": _UTILITY, "foundation": _FOUNDATION}
+
+
+def build_layout(name: str, *, net: int) -> Layout:
+    """Return the utility's or the foundation's layout of 13 VMs."""
+    centres, services, slots = _DEPLOYMENT_BY_NAME[name]
+    workers = itertools.chain.from_iterable(
+        itertools.repeat(service, count) for service, count in services
+    )
+    return _layout(name, centres, list(workers), slots, net)
+
+
+def scaled_layout(name: str, *, count: int, net: int) -> Layout:
+    """Return a layout of ``count`` VMs in the data centres of ``name``."""
+    centres, services, slots = _DEPLOYMENT_BY_NAME[name]
+    names = [service for service, _ in services]
+    workers = [names[index % len(names)] for index in range(count)]
+    return _layout(name, centres, workers, slots, net)
+
+
+def _layout(
+    name: str,
+    centres: tuple[tuple[str, str], ...],
+    workers: list[str],
+    slots: int,
+    net: int,
+) -> Layout:
+    def place(index: int, service: str) -> Vm:
+        centre = index % len(centres)
+        number = index // len(centres) + 1
+        data_centre, region = centres[centre]
+        return Vm(
+            name=f"{service}-{index + 1}",
+            region=region,
+            data_centre=data_centre,
+            ip=f"127.{net}.{centre + 1}.{number}",
+            service=service,
+            slots=slots,
+        )
+
+    vms = tuple(place(index, service) for index, service in enumerate(workers))
+    return Layout(
+        name=name,
+        vms=vms,
+        store=f"127.{net}.0.1:{STORE_PORT}",
+        store_region=centres[0][1],
+        region_delay_ms=12.0,
+        region_mbit=30.0,
+    )
+
+
+def free_net() -> int:
+    """Return a loopback network that no other layout on this machine uses."""
+    for net in _candidates():
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{net}.0.1", STORE_PORT))
+            except OSError:
+                continue
+            return net
+    raise RuntimeError("no free loopback network; stop other layouts first")
+
+
+def _candidates() -> Iterator[int]:
+    yield from range(FIRST_NET, LAST_NET)
--- /dev/null
+++ b/devtools/processes.py
@@ -0,0 +1,150 @@
+"""Starts and stops the processes of a layout."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from .layouts import TARGET_PORT, Layout, Vm
+
+STOP_TIMEOUT = 15.0  # seconds until a process that was asked to stop is killed
+
+
+class LayoutProcesses:
+    """The processes of one layout: platform, and a daemon and target for each VM."""
+
+    def __init__(
+        self,
+        *,
+        layout: Layout,
+        extra_settings: str = "",
+        targets: bool = True,
+        daemon_command: tuple[str, ...] = ("-m", "cassiasail._internal.daemon"),
+    ) -> None:
+        self.layout = layout
+        self.directory = Path(tempfile.mkdtemp(prefix="cassiasail-"))
+        self._extra = extra_settings
+        self._with_targets = targets
+        self._daemon_command = daemon_command
+        self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=5))
+
+    async def start(self) -> None:
+        """Start the platform, then all daemons and targets."""
+        await self.start_platform()
+        await asyncio.gather(*(self.start_vm(vm) for vm in self.layout.vms))
+
+    async def start_platform(self) -> None:
+        """Start the stand-in platform and wait until it answers."""
+        host, _, port = self.layout.store.partition(":")
+        await self._spawn(
+            "platform", "-m", "devtools.platform", "--host", host, "--port", port
+        )
+        await self.wait_for(f"http://{self.layout.store}/counters")
+
+    async def start_vm(self, vm: Vm) -> None:
+        """Start the daemon and the target of one VM."""
+        await self.start_daemon(vm)
+        if self._with_targets:
+            await self.start_target(vm)
+
+    async def start_daemon(self, vm: Vm) -> None:
+        """Start the daemon of one VM; does not wait until it is ready."""
+        path = self.directory / f"{vm.name}.ini"
+        path.write_text(self.layout.settings_of(vm, extra=self._extra))
+        await self._spawn(
+            f"daemon-{vm.name}", *self._daemon_command, "--config", str(path)
+        )
+
+    async def start_target(self, vm: Vm) -> None:
+        """Start the target of one VM."""
+        await self._spawn(
+            f"target-{vm.name}",
+            "-m",
+            "devtools.target",
+            "--host",
+            vm.ip,
+            "--port",
+            str(TARGET_PORT),
+            "--name",
+            vm.name,
+            "--service",
+            vm.service,
+            "--slots",
+            str(vm.slots),
+            "--daemon",
+            vm.http,
+        )
+
+    def pid(self, name: str) -> int:
+        """Return the process id of ``daemon-NAME``, ``target-NAME`` or platform."""
+        return self._process_by_name[name].pid
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process that this layout started."""
+        process = self._process_by_name[name]
+        if process.returncode is None:
+            process.send_signal(number)
+
+    async def wait_exit(self, name: str) -> int:
+        """Wait until a process has ended and return its exit code."""
+        return await self._process_by_name[name].wait()
+
+    async def faults(self, **changes: Any) -> None:
+        """Switch faults of the platform."""
+        url = f"http://{self.layout.store}/faults"
+        async with self.session.post(url, json=changes) as response:
+            response.raise_for_status()
+
+    async def get_json(self, url: str) -> Any:
+        """Return the JSON at ``url``."""
+        async with self.session.get(url) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def wait_for(self, url: str, timeout: float = 20.0) -> None:
+        """Wait until ``url`` answers with success."""
+        async with asyncio.timeout(timeout):
+            while True:
+                try:
+                    async with self.session.get(url) as response:
+                        if response.status < 300:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """Stop every process that is still running."""
+        running = [
+            process
+            for process in self._process_by_name.values()
+            if process.returncode is None
+        ]
+        for process in running:
+            process.send_signal(signal.SIGTERM)
+        await asyncio.gather(*(_finish(process) for process in running))
+        await self.session.close()
+
+    async def _spawn(self, name: str, *arguments: str) -> None:
+        with (self.directory / f"{name}.log").open("ab") as log:
+            self._process_by_name[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+
+async def _finish(process: asyncio.subprocess.Process) -> None:
+    try:
+        async with asyncio.timeout(STOP_TIMEOUT):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
--- /dev/null
+++ b/devtools/target.py
@@ -0,0 +1,189 @@
+"""Stand-in for a worker of a service: a small HTTP server with a bounded number of
+slots that announces itself to the daemon beside it.
+
+``GET /_stats`` returns what it executed, so that tests and reports can compare the
+daemons' answers with the truth. The request header ``Work-Ms`` sets the time one
+call takes, ``Answer-Bytes`` the length of the answer, ``Crash`` ends the process.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import time
+from collections import Counter
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+ANNOUNCE_INTERVAL = 1.0  # seconds
+DEFAULT_WORK_MS = 2.0
+
+
+class Target:
+    """What one worker did; keys of ``runs_by_key`` are idempotency keys."""
+
+    def __init__(self, *, slots: int) -> None:
+        self.slots = slots
+        self.started = time.time()
+        self.state = "ready"
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.executed = 0
+        self.cancelled = 0
+        self.runs_by_key: Counter[str] = Counter()
+        self.in_flight_by_customer: Counter[str] = Counter()
+        self.most_by_customer: dict[str, int] = {}
+        self.last_call_at = 0.0
+
+    def begin(self, customer: str, key: str | None) -> None:
+        """Note that a call starts."""
+        self.executed += 1
+        self.last_call_at = time.time()
+        if key is not None:
+            self.runs_by_key[key] += 1
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        self.in_flight_by_customer[customer] += 1
+        self.most_by_customer[customer] = max(
+            self.most_by_customer.get(customer, 0),
+            self.in_flight_by_customer[customer],
+        )
+
+    def end(self, customer: str) -> None:
+        """Note that a call ended."""
+        self.in_flight -= 1
+        self.in_flight_by_customer[customer] -= 1
+
+    def stats(self) -> dict[str, Any]:
+        """Return everything as JSON-encodable values."""
+        return {
+            "started": self.started,
+            "state": self.state,
+            "in_flight": self.in_flight,
+            "most_in_flight": self.most_in_flight,
+            "executed": self.executed,
+            "cancelled": self.cancelled,
+            "runs_by_key": dict(self.runs_by_key),
+            "most_by_customer": self.most_by_customer,
+            "last_call_at": self.last_call_at,
+        }
+
+
+def build_app(target: Target) -> web.Application:
+    """Return the HTTP application of a worker."""
+
+    async def stats(request: web.Request) -> web.Response:
+        return web.json_response(target.stats())
+
+    async def set_state(request: web.Request) -> web.Response:
+        target.state = (await request.json())["state"]
+        return web.Response()
+
+    async def work(request: web.Request) -> web.StreamResponse:
+        customer = request.headers.get("Cassiasail-Customer", "")
+        target.begin(customer, request.headers.get("Idempotency-Key"))
+        try:
+            body = await request.read()
+            if "Crash" in request.headers:
+                os._exit(1)
+            await asyncio.sleep(float(request.headers.get("Work-Ms", 2)) / 1000)
+            return await answer(request, body)
+        except asyncio.CancelledError:
+            target.cancelled += 1
+            raise
+        finally:
+            target.end(customer)
+
+    async def answer(request: web.Request, body: bytes) -> web.StreamResponse:
+        length = int(request.headers.get("Answer-Bytes", 0))
+        if not length:
+            # The echo lets a caller check that the answer is that to its own request.
+            return web.json_response({"path": request.path, "echo": body.decode()})
+        response = web.StreamResponse()
+        response.content_length = length
+        await response.prepare(request)
+        part = bytes(16384)
+        for start in range(0, length, len(part)):
+            await response.write(part[: min(len(part), length - start)])
+        return response
+
+    app = web.Application(client_max_size=64 << 20)
+    app.router.add_get("/_stats", stats)
+    app.router.add_post("/_state", set_state)
+    app.router.add_route("*", "/{path:.*}", work)
+    return app
+
+
+async def announce_forever(
+    target: Target, *, name: str, service: str, port: int, daemon: str
+) -> None:
+    """Repeat the announcement to the daemon at ``daemon`` every second."""
+    timeout = aiohttp.ClientTimeout(total=1.0)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            body = {
+                "service": service,
+                "port": port,
+                "slots": target.slots,
+                "connections": 130,
+                "state": target.state,
+                "load": target.in_flight,
+                "started": target.started,
+            }
+            url = f"http://{daemon}/_cassiasail/targets/{name}"
+            try:
+                async with session.put(url, json=body):
+                    pass
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            await asyncio.sleep(ANNOUNCE_INTERVAL)
+
+
+async def _serve(options: argparse.Namespace) -> None:
+    target = Target(slots=options.slots)
+    runner = web.AppRunner(
+        build_app(target), access_log=None, handler_cancellation=True
+    )
+    await runner.setup()
+    await web.TCPSite(runner, options.host, options.port).start()
+    print(json.dumps({"listening": f"{options.host}:{options.port}"}), flush=True)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    announcing = asyncio.create_task(
+        announce_forever(
+            target,
+            name=options.name,
+            service=options.service,
+            port=options.port,
+            daemon=options.daemon,
+        )
+    )
+    await stopped.wait()
+    target.state = "draining"
+    # The daemon learns of the drain with the next announcement; calls that are
+    # already on their way still run.
+    await asyncio.sleep(2 * ANNOUNCE_INTERVAL)
+    while target.in_flight:
+        await asyncio.sleep(0.05)
+    announcing.cancel()
+    await runner.cleanup()
+
+
+def main() -> None:
+    """Run one worker as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--slots", type=int, default=9)
+    parser.add_argument("--daemon", required=True)
+    asyncio.run(_serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cassiasail/_internal/coordination/calls.py
@@ -0,0 +1,133 @@
+"""The decisions on one call, on the daemon that the caller contacted."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..ids import CustomerId, ServiceName
+from ..protocol.answers import Answer, Body
+from ..protocol.frames import CallHead, Headers
+from ..state.lists import Allowance, KeyPolicy, Route
+from ..state.refusals import Executed, Refusal, RefusalReason
+from ..state.routes import RouteTable
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """A call as the caller sent it.
+
+    ``remaining`` is the caller's own time limit in seconds, if it gave one;
+    ``body_digest`` is None for a body that is streamed.
+    """
+
+    customer: str
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: Body
+    body_length: int | None
+    body_digest: bytes | None
+    idempotency_key: str | None
+    remaining: float | None
+    attempt: int
+    depth: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoutedCall:
+    """A call that the lists allow, with the route and allowance that apply."""
+
+    call: Call
+    route: Route
+    allowance: Allowance
+    fingerprint: bytes
+    deadline: float
+
+
+Dispatch = Callable[[str, CallHead, Body], Awaitable[Answer | Refusal]]
+
+
+def refuse(
+    reason: RefusalReason, detail: str = "", *, retry_after: float | None = None
+) -> Refusal:
+    """Return a refusal of a call that was certainly not executed."""
+    return Refusal(
+        reason=reason, executed=Executed.NO, detail=detail, retry_after=retry_after
+    )
+
+
+def match_call(
+    call: Call, table: RouteTable, *, clock: Clock, max_deadline: float
+) -> RoutedCall | Refusal:
+    """Return the call with its route and allowance, or why the lists refuse it."""
+    if table.version == 0:
+        return refuse(
+            RefusalReason.NO_CONFIGURATION,
+            "this daemon has no configuration yet",
+            retry_after=1.0,
+        )
+    customer = table.customer_by_id.get(CustomerId(call.customer))
+    if customer is None:
+        return refuse(RefusalReason.UNKNOWN_CUSTOMER, f"no customer {call.customer!r}")
+    service = ServiceName(call.service)
+    if service not in table.routes_by_service:
+        return refuse(RefusalReason.UNKNOWN_SERVICE, f"no service {call.service!r}")
+    path = call.path.partition("?")[0]
+    route = table.route_of(service, path)
+    if route is None:
+        return refuse(RefusalReason.UNKNOWN_ROUTE, f"no route for {path!r}")
+    allowance = table.allowance_by_route.get((customer.plan, service, route.path))
+    if allowance is None:
+        return refuse(
+            RefusalReason.NOT_IN_PLAN,
+            f"plan {customer.plan!r} has no allowance for {service} {route.path}",
+        )
+    if call.body_length is not None and call.body_length > allowance.max_body:
+        return refuse(
+            RefusalReason.BODY_TOO_LARGE, f"the limit is {allowance.max_body} bytes"
+        )
+    if route.key_policy is KeyPolicy.REQUIRED and not call.idempotency_key:
+        return refuse(
+            RefusalReason.KEY_REQUIRED, "send an Idempotency-Key header with the call"
+        )
+    wanted = route.deadline if call.remaining is None else call.remaining
+    return RoutedCall(
+        call=call,
+        route=route,
+        allowance=allowance,
+        fingerprint=fingerprint_of(call),
+        deadline=clock.now() + min(wanted, max_deadline),
+    )
+
+
+def fingerprint_of(call: Call) -> bytes:
+    """Return the fingerprint by which a repeated request is recognised."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (call.customer, call.service, call.method, call.path):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(call.body_digest or b"")
+    return digest.digest()
+
+
+def head_for(routed: RoutedCall, *, target: str, now: float, attempt: int) -> CallHead:
+    """Return the head that the host daemon receives."""
+    call = routed.call
+    return CallHead(
+        target=target,
+        service=call.service,
+        route=routed.route.path,
+        customer=call.customer,
+        call_class=routed.route.call_class.value,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        remaining=max(0.0, routed.deadline - now),
+        attempt=attempt,
+        depth=call.depth,
+        fingerprint=routed.fingerprint,
+        idempotent=routed.route.is_idempotent(call.method),
+        body_length=call.body_length,
+    )
--- /dev/null
+++ b/src/cassiasail/_internal/transport/admin_http.py
@@ -0,0 +1,98 @@
+"""HTTP server for metrics, health and operators."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from ...exceptions import CassiasailError
+from .. import metrics
+
+# Largest version that an operator may hand over.
+MAX_OFFER = 64 * 1024 * 1024
+
+StatusSource = Callable[[], dict[str, Any]]
+ExplainSource = Callable[[str, str], dict[str, Any] | None]
+OfferSink = Callable[[bytes], None]
+
+
+class AdminServer:
+    """Listener on the admin address."""
+
+    def __init__(
+        self,
+        *,
+        status: StatusSource,
+        explain: ExplainSource,
+        offer: OfferSink,
+        is_ready: Callable[[], bool],
+        json_pages: Mapping[str, StatusSource],
+    ) -> None:
+        self._status = status
+        self._explain = explain
+        self._offer = offer
+        self._is_ready = is_ready
+        self._json_pages = json_pages
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen on ``address`` (``host:port``)."""
+        app = web.Application(client_max_size=MAX_OFFER)
+        app.router.add_get("/metrics", self._get_metrics)
+        app.router.add_get("/healthz", self._get_health)
+        app.router.add_get("/readyz", self._get_ready)
+        app.router.add_get("/status", self._get_status)
+        app.router.add_get("/explain", self._get_explain)
+        app.router.add_post("/config/offer", self._post_offer)
+        for path, source in self._json_pages.items():
+            app.router.add_get(path, _json_page(source))
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = address.partition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _get_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=generate_latest(metrics.REGISTRY),
+            headers={"Content-Type": CONTENT_TYPE_LATEST},
+        )
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _get_ready(self, request: web.Request) -> web.Response:
+        if self._is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="no configuration yet, or draining\n")
+
+    async def _get_status(self, request: web.Request) -> web.Response:
+        return web.json_response(self._status())
+
+    async def _get_explain(self, request: web.Request) -> web.Response:
+        customer = request.query.get("customer", "")
+        service = request.query.get("service", "")
+        found = self._explain(customer, service)
+        if found is None:
+            raise web.HTTPNotFound(text="unknown customer\n")
+        return web.json_response(found)
+
+    async def _post_offer(self, request: web.Request) -> web.Response:
+        try:
+            self._offer(await request.read())
+        except CassiasailError as error:
+            metrics.MESSAGES_REFUSED.labels("malformed_offer").inc()
+            raise web.HTTPBadRequest(text=f"{error}\n") from None
+        return web.Response(status=202)
+
+
+def _json_page(source: StatusSource) -> Callable[[web.Request], Any]:
+    async def page(request: web.Request) -> web.Response:
+        return web.json_response(source())
+
+    return page
--- /dev/null
+++ b/src/cassiasail/_internal/transport/peers.py
@@ -0,0 +1,359 @@
+"""Connections between daemons: control links and call connections.
+
+Both use websockets without compression (its buffers cost 64 KiB and more for each
+connection) and without the library's own pings, since the control plane has
+heartbeats. Byte counts include the websocket framing.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, NewType
+
+from absl import logging
+from prometheus_client import Counter
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from .. import metrics
+from ..ids import DaemonId, Region
+from ..protocol.frames import MAX_FRAME
+from .shaping import DelayedSender, RegionLink
+from .streams import CallConnection, CallHandler, ReportSource, RequestHandler
+
+LinkId = NewType("LinkId", int)
+
+CONTROL_PATH = "/control"
+CALLS_PATH = "/calls"
+DAEMON_HEADER = "Cassiasail-Daemon"
+REGION_HEADER = "Cassiasail-Region"
+
+MAX_CONTROL_MESSAGE = 64 * 1024 * 1024
+# Control messages waiting on one link; a peer this slow is disconnected.
+MAX_CONTROL_QUEUE = 1000
+DIAL_TIMEOUT = 1.0  # seconds
+CALL_IDLE_TIME = 60.0  # seconds until an unused call connection is closed
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LocalPeer:
+    """Identity of this daemon towards its peers."""
+
+    daemon: DaemonId
+    region: Region
+    link: RegionLink
+
+
+class PeerSocket:
+    """A websocket with byte counters and the emulated region link."""
+
+    def __init__(
+        self,
+        *,
+        connection: Connection,
+        local: LocalPeer,
+        region: str,
+        counter: Counter,
+    ) -> None:
+        self._connection = connection
+        scope = "same_region" if region == local.region else "cross_region"
+        self._sent = counter.labels("sent", scope)
+        self._received = counter.labels("received", scope)
+        self._delayed: DelayedSender | None = None
+        if region != local.region and local.link.active:
+            self._delayed = DelayedSender(link=local.link, send=self._send_now)
+
+    async def send(self, data: bytes) -> bool:
+        """Send one message; return False if the connection is closed."""
+        self._sent.inc(framed_size(len(data)))
+        if self._delayed is not None:
+            return self._delayed.put(data)
+        return await self._send_now(data)
+
+    async def recv(self) -> bytes | None:
+        """Return the next message, or None once the connection is closed."""
+        try:
+            data = await self._connection.recv(decode=False)
+        except ConnectionClosed:
+            return None
+        self._received.inc(framed_size(len(data)))
+        return data if isinstance(data, bytes) else bytes(data)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self._delayed is not None:
+            self._delayed.close()
+        await self._connection.close()
+
+    async def _send_now(self, data: bytes) -> bool:
+        try:
+            await self._connection.send(data)
+        except ConnectionClosed:
+            return False
+        return True
+
+
+def framed_size(length: int) -> int:
+    """Return the bytes of a websocket message of ``length`` bytes (RFC 6455)."""
+    if length < 126:
+        return length + 6
+    return length + (8 if length < 65536 else 14)
+
+
+class ControlLinks:
+    """Control links by id, driven by the control plane's callables.
+
+    The ``on_*`` callbacks run on the loop; ``send``, ``dial`` and ``hang_up`` return
+    at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        local: LocalPeer,
+        on_open: Callable[[LinkId, str | None], None],
+        on_message: Callable[[LinkId, bytes], None],
+        on_close: Callable[[LinkId], None],
+        on_dial_failed: Callable[[str], None],
+    ) -> None:
+        self._local = local
+        self._on_open = on_open
+        self._on_message = on_message
+        self._on_close = on_close
+        self._on_dial_failed = on_dial_failed
+        self._ids = itertools.count(1)
+        self._queue_by_link: dict[LinkId, asyncio.Queue[bytes | None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def send(self, link: LinkId, data: bytes) -> None:
+        """Queue a message; a link whose queue is full is closed."""
+        queue = self._queue_by_link.get(link)
+        if queue is None:
+            return
+        if queue.qsize() >= MAX_CONTROL_QUEUE:
+            metrics.MESSAGES_REFUSED.labels("control_queue_full").inc()
+            self.hang_up(link)
+            return
+        queue.put_nowait(data)
+
+    def dial(self, address: str, region: Region) -> None:
+        """Open a link to ``address``; ends in ``on_open`` or ``on_dial_failed``."""
+        self._spawn(self._dial(address, region))
+
+    def hang_up(self, link: LinkId) -> None:
+        """Close a link after what is queued has been sent."""
+        queue = self._queue_by_link.get(link)
+        if queue is not None:
+            queue.put_nowait(None)
+
+    async def serve(self, connection: ServerConnection) -> None:
+        """Run a link that a peer opened."""
+        await self._run(connection, _header(connection, REGION_HEADER), None)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for link in list(self._queue_by_link):
+            self.hang_up(link)
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=1.0)
+
+    def _spawn(self, work: Any) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, address: str, region: Region) -> None:
+        connection = await dial(address, CONTROL_PATH, self._local, MAX_CONTROL_MESSAGE)
+        if connection is None:
+            self._on_dial_failed(address)
+            return
+        await self._run(connection, region, address)
+
+    async def _run(
+        self, connection: Connection, region: str, address: str | None
+    ) -> None:
+        link = LinkId(next(self._ids))
+        queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+        socket = PeerSocket(
+            connection=connection,
+            local=self._local,
+            region=region,
+            counter=metrics.CONTROL_BYTES,
+        )
+        self._queue_by_link[link] = queue
+        self._on_open(link, address)
+        writer = asyncio.create_task(_write_queue(socket, queue))
+        try:
+            while (data := await socket.recv()) is not None:
+                self._on_message(link, data)
+        finally:
+            writer.cancel()
+            del self._queue_by_link[link]
+            self._on_close(link)
+            await socket.close()
+
+
+class CallPool:
+    """Call connections to other daemons, opened on first use."""
+
+    def __init__(
+        self,
+        *,
+        local: LocalPeer,
+        serve_call: CallHandler,
+        serve_request: RequestHandler,
+        report_for: ReportSource,
+    ) -> None:
+        self._local = local
+        self._serve_call = serve_call
+        self._serve_request = serve_request
+        self._report_for = report_for
+        self._connection_by_address: dict[str, CallConnection] = {}
+        self._dialing_by_address: dict[str, asyncio.Task[CallConnection | None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._accepted: set[CallConnection] = set()
+
+    async def connection_to(self, address: str, region: str) -> CallConnection | None:
+        """Return an open connection, or None if the peer can't be reached."""
+        connection = self._connection_by_address.get(address)
+        if connection is not None and not connection.closed:
+            return connection
+        dialing = self._dialing_by_address.get(address)
+        if dialing is None:
+            dialing = asyncio.create_task(self._dial(address, region))
+            self._dialing_by_address[address] = dialing
+            dialing.add_done_callback(
+                lambda _: self._dialing_by_address.pop(address, None)
+            )
+        # Several callers share one dial; a caller that gives up must not end it.
+        return await asyncio.shield(dialing)
+
+    async def serve(self, connection: ServerConnection) -> None:
+        """Run a call connection that a peer opened."""
+        calls = self._wrap(connection, _header(connection, REGION_HEADER))
+        self._accepted.add(calls)
+        try:
+            await calls.run()
+        finally:
+            self._accepted.discard(calls)
+
+    async def close(self) -> None:
+        """Close all call connections."""
+        for calls in (*self._connection_by_address.values(), *self._accepted):
+            await calls.close()
+
+    @property
+    def open_connections(self) -> int:
+        """Number of call connections, dialed and accepted."""
+        return len(self._connection_by_address) + len(self._accepted)
+
+    def _wrap(self, connection: Connection, region: str) -> CallConnection:
+        return CallConnection(
+            socket=PeerSocket(
+                connection=connection,
+                local=self._local,
+                region=region,
+                counter=metrics.CALL_BYTES,
+            ),
+            serve_call=self._serve_call,
+            serve_request=self._serve_request,
+            report_for=self._report_for,
+        )
+
+    async def _dial(self, address: str, region: str) -> CallConnection | None:
+        connection = await dial(address, CALLS_PATH, self._local, MAX_FRAME)
+        if connection is None:
+            return None
+        calls = self._wrap(connection, region)
+        self._connection_by_address[address] = calls
+        task = asyncio.create_task(self._run(address, calls))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return calls
+
+    async def _run(self, address: str, calls: CallConnection) -> None:
+        reaper = asyncio.create_task(_close_when_idle(calls))
+        try:
+            await calls.run()
+        finally:
+            reaper.cancel()
+            if self._connection_by_address.get(address) is calls:
+                del self._connection_by_address[address]
+
+
+async def start_listener(
+    address: str, *, control: ControlLinks, calls: CallPool
+) -> Server:
+    """Listen for peers on ``address`` (``host:port``)."""
+    serve_by_path: dict[str, Callable[[ServerConnection], Awaitable[None]]] = {
+        CONTROL_PATH: control.serve,
+        CALLS_PATH: calls.serve,
+    }
+
+    async def handle(connection: ServerConnection) -> None:
+        path = connection.request.path if connection.request else ""
+        handler = serve_by_path.get(path)
+        if handler is None:
+            metrics.MESSAGES_REFUSED.labels("unknown_path").inc()
+            return
+        await handler(connection)
+
+    host, _, port = address.partition(":")
+    return await serve(
+        handle,
+        host,
+        int(port),
+        compression=None,
+        max_size=MAX_CONTROL_MESSAGE,
+        ping_interval=None,
+        close_timeout=0.5,
+        server_header=None,
+    )
+
+
+async def dial(
+    address: str, path: str, local: LocalPeer, max_size: int
+) -> Connection | None:
+    """Open a websocket to a peer, or return None if it can't be reached."""
+    try:
+        return await connect(
+            f"ws://{address}{path}",
+            additional_headers={
+                DAEMON_HEADER: local.daemon,
+                REGION_HEADER: local.region,
+            },
+            compression=None,
+            max_size=max_size,
+            open_timeout=DIAL_TIMEOUT + 2 * local.link.delay,
+            ping_interval=None,
+            close_timeout=0.5,
+            proxy=None,
+            user_agent_header=None,
+        )
+    except (OSError, TimeoutError, WebSocketException) as error:
+        logging.debug("can't reach peer %s: %s", address, error)
+        return None
+
+
+async def _close_when_idle(calls: CallConnection) -> None:
+    opened = -1
+    while not calls.idle or calls.opened != opened:
+        opened = calls.opened
+        await asyncio.sleep(CALL_IDLE_TIME)
+    await calls.close()
+
+
+async def _write_queue(socket: PeerSocket, queue: asyncio.Queue[bytes | None]) -> None:
+    while (data := await queue.get()) is not None:
+        if not await socket.send(data):
+            return
+    await socket.close()
+
+
+def _header(connection: ServerConnection, name: str) -> str:
+    if connection.request is None:
+        return ""
+    return connection.request.headers.get(name, "")
--- /dev/null
+++ b/src/cassiasail/_internal/transport/streams.py
@@ -0,0 +1,512 @@
+"""Calls multiplexed over one connection between two daemons.
+
+The daemon that dialed opens streams; the other one serves them. Stream ids only
+rise and are never used again, so a late frame can never reach another call.
+"""
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from absl import logging
+
+from ...exceptions import ProtocolError
+from .. import metrics
+from ..protocol.answers import Answer, Body, BodyReader, close_body
+from ..protocol.frames import (
+    DATA_PART,
+    INLINE_BODY,
+    STREAM_CREDIT,
+    AnswerFrame,
+    CallHead,
+    CancelFrame,
+    CreditFrame,
+    DataFrame,
+    EndFrame,
+    Frame,
+    HeadFrame,
+    LoadReport,
+    ReplyFrame,
+    RequestFrame,
+    ResetFrame,
+    decode_frame,
+    encode_frame,
+)
+from ..state.refusals import Executed, Refusal, RefusalReason
+
+
+class Socket(Protocol):
+    """A message connection; ``recv`` returns None once it is closed."""
+
+    async def send(self, data: bytes) -> bool: ...
+
+    async def recv(self) -> bytes | None: ...
+
+    async def close(self) -> None: ...
+
+
+CallHandler = Callable[[CallHead, Body], Awaitable[Answer | Refusal]]
+RequestHandler = Callable[[Any], Awaitable[Any]]
+ReportSource = Callable[[CallHead], LoadReport | None]
+
+
+def peer_lost(executed: Executed) -> Refusal:
+    """Return the refusal for a call whose connection broke."""
+    return Refusal(
+        reason=RefusalReason.PEER_LOST,
+        executed=executed,
+        detail="the connection to the host daemon was lost",
+    )
+
+
+class ReceivedBody:
+    """A body that arrives in DATA frames; grants credit as it is read."""
+
+    def __init__(
+        self,
+        *,
+        stream: int,
+        announced: int | None,
+        send: Callable[[Frame], Awaitable[bool]],
+        stop: Callable[[], None],
+    ) -> None:
+        self._stream = stream
+        self._announced = announced
+        self._send = send
+        self._stop = stop
+        self._parts: deque[bytes] = deque()
+        self._received = 0
+        self._unacknowledged = 0
+        self._end: Refusal | None = None
+        self.ended = False
+        self._changed = asyncio.Event()
+
+    def add(self, data: bytes) -> None:
+        """Queue a part that arrived."""
+        if self.ended:
+            metrics.FRAMES_DROPPED.labels("after_end").inc()
+            return
+        self._received += len(data)
+        self._parts.append(data)
+        self._changed.set()
+
+    def finish(self, total: int) -> None:
+        """Note the end; a byte count that differs makes the body cut."""
+        expected = total if self._announced is None else self._announced
+        if total != self._received or total != expected:
+            self.fail(_short_body(self._received, expected))
+            return
+        self.ended = True
+        self._changed.set()
+
+    def fail(self, refusal: Refusal) -> None:
+        """Note that the rest will not come."""
+        if not self.ended:
+            self._end = refusal
+            self.ended = True
+            self._changed.set()
+
+    async def read(self) -> bytes | None | Refusal:
+        while not self._parts and not self.ended:
+            self._changed.clear()
+            await self._changed.wait()
+        if not self._parts:
+            return self._end
+        part = self._parts.popleft()
+        self._unacknowledged += len(part)
+        if self._unacknowledged >= STREAM_CREDIT // 2 and not self.ended:
+            count, self._unacknowledged = self._unacknowledged, 0
+            await self._send(CreditFrame(stream=self._stream, count=count))
+        return part
+
+    def close(self) -> None:
+        if not self.ended:
+            self.fail(
+                Refusal(reason=RefusalReason.CANCELLED, executed=Executed.UNKNOWN)
+            )
+            self._stop()
+
+
+class _Credit:
+    """Bytes that may still be sent on a stream."""
+
+    def __init__(self) -> None:
+        self._left = STREAM_CREDIT
+        self._changed = asyncio.Event()
+
+    def add(self, count: int) -> None:
+        self._left += count
+        self._changed.set()
+
+    async def take(self, count: int) -> None:
+        while self._left < count:
+            self._changed.clear()
+            await self._changed.wait()
+        self._left -= count
+
+
+class _OutgoingCall:
+    """A call sent to the other daemon."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.answered: asyncio.Future[AnswerFrame | ResetFrame] = loop.create_future()
+        self.credit = _Credit()
+        self.body: ReceivedBody | None = None
+        self.sender: asyncio.Task[None] | None = None
+
+
+class _IncomingCall:
+    """A call that the other daemon sent."""
+
+    def __init__(self) -> None:
+        self.task: asyncio.Task[None] | None = None
+        self.credit = _Credit()
+        self.body: ReceivedBody | None = None
+
+
+class CallConnection:
+    """One side of a multiplexed connection.
+
+    ``serve_call`` and ``serve_request`` handle what the other side opens;
+    ``report_for`` gives the load report that goes with each answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        socket: Socket,
+        serve_call: CallHandler,
+        serve_request: RequestHandler,
+        report_for: ReportSource,
+    ) -> None:
+        self._socket = socket
+        self._serve_call = serve_call
+        self._serve_request = serve_request
+        self._report_for = report_for
+        self._next_stream = itertools.count(1)
+        self._last_incoming = 0
+        self._outgoing_by_stream: dict[int, _OutgoingCall] = {}
+        self._incoming_by_stream: dict[int, _IncomingCall] = {}
+        self._replies_by_stream: dict[int, asyncio.Future[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.closed = False
+        # Calls and requests sent so far; tells an idle connection from a busy one.
+        self.opened = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no call or request is open."""
+        return not (
+            self._outgoing_by_stream
+            or self._incoming_by_stream
+            or self._replies_by_stream
+        )
+
+    async def run(self) -> None:
+        """Read frames until the connection closes."""
+        try:
+            while (data := await self._socket.recv()) is not None:
+                self._receive(decode_frame(data))
+        except ProtocolError as error:
+            metrics.MESSAGES_REFUSED.labels("malformed_frame").inc()
+            logging.warning("closing a call connection: %s", error)
+        finally:
+            self._fail_all()
+            await self._socket.close()
+
+    async def call(self, head: CallHead, body: Body) -> Answer | Refusal:
+        """Send a call and return its answer, or why there is none."""
+        if self.closed:
+            return peer_lost(Executed.NO)
+        self.opened += 1
+        stream = next(self._next_stream)
+        call = _OutgoingCall()
+        self._outgoing_by_stream[stream] = call
+        finished = False
+        try:
+            inline = body if isinstance(body, bytes) else None
+            if inline is not None and len(inline) > INLINE_BODY:
+                body, inline = _BytesReader(inline), None
+            if not await self._send(HeadFrame(stream=stream, head=head, body=inline)):
+                return peer_lost(Executed.UNKNOWN)
+            if inline is None and not isinstance(body, bytes):
+                work = self._send_request_body(stream, body, call.credit)
+                call.sender = self._spawn(work)
+            frame = await call.answered
+            finished = True
+        finally:
+            if not finished:
+                self._cancel_outgoing(stream)
+        return self._answer_from(stream, frame)
+
+    async def request(self, payload: Any, timeout: float) -> Any:
+        """Send a message and return its reply, or None after ``timeout`` seconds."""
+        if self.closed:
+            return None
+        self.opened += 1
+        stream = next(self._next_stream)
+        reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._replies_by_stream[stream] = reply
+        try:
+            if not await self._send(RequestFrame(stream=stream, payload=payload)):
+                return None
+            async with asyncio.timeout(timeout):
+                return await reply
+        except TimeoutError:
+            return None
+        finally:
+            self._replies_by_stream.pop(stream, None)
+
+    async def close(self) -> None:
+        """Close the connection; open calls end as lost."""
+        # Set first, so that a call made while the close runs dials anew instead of
+        # being lost with an unknown outcome.
+        self.closed = True
+        await self._socket.close()
+
+    def _answer_from(
+        self, stream: int, frame: AnswerFrame | ResetFrame
+    ) -> Answer | Refusal:
+        call = self._outgoing_by_stream.get(stream)
+        if isinstance(frame, ResetFrame):
+            self._drop_outgoing(stream)
+            return frame.refusal
+        body: Body
+        if frame.body is not None:
+            self._drop_outgoing(stream)
+            body = frame.body
+        else:
+            body = call.body if call and call.body else b""
+        return Answer(
+            status=frame.status,
+            headers=frame.headers,
+            body_length=frame.body_length,
+            body=body,
+            report=frame.report,
+        )
+
+    def _spawn(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _send(self, frame: Frame) -> bool:
+        return await self._socket.send(encode_frame(frame))
+
+    def _cancel_outgoing(self, stream: int) -> None:
+        if self._drop_outgoing(stream) and not self.closed:
+            self._spawn(self._send_cancel(stream))
+
+    def _drop_outgoing(self, stream: int) -> bool:
+        call = self._outgoing_by_stream.pop(stream, None)
+        if call is None:
+            return False
+        # An early answer ends the call although its request is still being sent.
+        if call.sender is not None:
+            call.sender.cancel()
+        return True
+
+    async def _send_cancel(self, stream: int) -> None:
+        await self._send(CancelFrame(stream=stream))
+
+    async def _send_request_body(
+        self, stream: int, body: BodyReader, credit: _Credit
+    ) -> None:
+        cut = await self._send_parts(stream, body, credit)
+        if cut is not None:
+            await self._send(CancelFrame(stream=stream))
+
+    async def _send_parts(
+        self, stream: int, body: BodyReader, credit: _Credit
+    ) -> Refusal | None:
+        total = 0
+        while True:
+            part = await body.read()
+            if isinstance(part, Refusal):
+                return part
+            if part is None:
+                break
+            for start in range(0, len(part), DATA_PART):
+                data = part[start : start + DATA_PART]
+                await credit.take(len(data))
+                if not await self._send(DataFrame(stream=stream, data=data)):
+                    body.close()
+                    return None
+                total += len(data)
+        await self._send(EndFrame(stream=stream, total=total))
+        return None
+
+    def _receive(self, frame: Frame) -> None:
+        match frame:
+            case HeadFrame():
+                self._open_incoming(frame)
+            case AnswerFrame() | ResetFrame():
+                self._receive_answer(frame)
+            case DataFrame() | EndFrame():
+                self._receive_body(frame)
+            case CreditFrame():
+                self._receive_credit(frame)
+            case CancelFrame():
+                self._receive_cancel(frame)
+            case RequestFrame():
+                self._spawn(self._reply(frame))
+            case ReplyFrame():
+                reply = self._replies_by_stream.pop(frame.stream, None)
+                if reply is not None and not reply.done():
+                    reply.set_result(frame.payload)
+
+    def _open_incoming(self, frame: HeadFrame) -> None:
+        if frame.stream <= self._last_incoming:
+            raise ProtocolError(f"stream id {frame.stream} used again")
+        self._last_incoming = frame.stream
+        call = _IncomingCall()
+        self._incoming_by_stream[frame.stream] = call
+        body: Body
+        if frame.body is not None:
+            body = frame.body
+        else:
+            body = call.body = self._received_body(
+                frame.stream, frame.head.body_length, lambda: None
+            )
+        call.task = self._spawn(self._serve(frame, body, call))
+
+    def _received_body(
+        self, stream: int, announced: int | None, stop: Callable[[], None]
+    ) -> ReceivedBody:
+        return ReceivedBody(
+            stream=stream, announced=announced, send=self._send, stop=stop
+        )
+
+    def _receive_answer(self, frame: AnswerFrame | ResetFrame) -> None:
+        call = self._outgoing_by_stream.get(frame.stream)
+        if call is None:
+            metrics.FRAMES_DROPPED.labels("late_answer").inc()
+            return
+        if call.answered.done():
+            if isinstance(frame, ResetFrame) and call.body is not None:
+                call.body.fail(frame.refusal)
+                self._drop_outgoing(frame.stream)
+            else:
+                metrics.FRAMES_DROPPED.labels("second_answer").inc()
+            return
+        if isinstance(frame, AnswerFrame) and frame.body is None:
+            stream = frame.stream
+            call.body = self._received_body(
+                stream, frame.body_length, lambda: self._cancel_outgoing(stream)
+            )
+        call.answered.set_result(frame)
+
+    def _receive_body(self, frame: DataFrame | EndFrame) -> None:
+        # Both tables are asked: one connection has one direction of calls.
+        call = self._outgoing_by_stream.get(
+            frame.stream
+        ) or self._incoming_by_stream.get(frame.stream)
+        if call is None or call.body is None:
+            metrics.FRAMES_DROPPED.labels("late_data").inc()
+            return
+        if isinstance(frame, DataFrame):
+            call.body.add(frame.data)
+            return
+        call.body.finish(frame.total)
+        self._drop_outgoing(frame.stream)
+
+    def _receive_credit(self, frame: CreditFrame) -> None:
+        call = self._outgoing_by_stream.get(
+            frame.stream
+        ) or self._incoming_by_stream.get(frame.stream)
+        if call is not None:
+            call.credit.add(frame.count)
+
+    def _receive_cancel(self, frame: CancelFrame) -> None:
+        call = self._incoming_by_stream.get(frame.stream)
+        if call is not None and call.task is not None:
+            call.task.cancel()
+
+    async def _serve(self, frame: HeadFrame, body: Body, call: _IncomingCall) -> None:
+        try:
+            answer = await self._serve_call(frame.head, body)
+            report = self._report_for(frame.head)
+            if isinstance(answer, Refusal):
+                await self._send(
+                    ResetFrame(stream=frame.stream, refusal=answer, report=report)
+                )
+                return
+            try:
+                await self._send_answer(frame.stream, answer, report, call)
+            finally:
+                close_body(answer.body)
+        finally:
+            self._incoming_by_stream.pop(frame.stream, None)
+
+    async def _send_answer(
+        self,
+        stream: int,
+        answer: Answer,
+        report: LoadReport | None,
+        call: _IncomingCall,
+    ) -> None:
+        body: Body = answer.body
+        inline = body if isinstance(body, bytes) else None
+        if inline is not None and len(inline) > INLINE_BODY:
+            body, inline = _BytesReader(inline), None
+        await self._send(
+            AnswerFrame(
+                stream=stream,
+                status=answer.status,
+                headers=answer.headers,
+                body_length=answer.body_length,
+                body=inline,
+                report=report,
+            )
+        )
+        if inline is not None or isinstance(body, bytes):
+            return
+        cut = await self._send_parts(stream, body, call.credit)
+        if cut is not None:
+            await self._send(ResetFrame(stream=stream, refusal=cut))
+
+    async def _reply(self, frame: RequestFrame) -> None:
+        payload = await self._serve_request(frame.payload)
+        await self._send(ReplyFrame(stream=frame.stream, payload=payload))
+
+    def _fail_all(self) -> None:
+        self.closed = True
+        lost = peer_lost(Executed.UNKNOWN)
+        for stream, call in list(self._outgoing_by_stream.items()):
+            if call.body is not None:
+                call.body.fail(lost)
+            if not call.answered.done():
+                call.answered.set_result(ResetFrame(stream=stream, refusal=lost))
+        self._outgoing_by_stream.clear()
+        for reply in self._replies_by_stream.values():
+            if not reply.done():
+                reply.set_result(None)
+        # The callers of these calls are gone; nobody can receive their answers.
+        for task in list(self._tasks):
+            task.cancel()
+
+
+class _BytesReader:
+    """A body that is already complete."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data: bytes | None = data
+
+    async def read(self) -> bytes | None | Refusal:
+        data, self._data = self._data, None
+        return data
+
+    def close(self) -> None:
+        self._data = None
+
+
+def _short_body(received: int, expected: int) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.SHORT_BODY,
+        executed=Executed.UNKNOWN,
+        detail=f"{received} of {expected} bytes arrived",
+    )
--- /dev/null
+++ b/src/cassiasail/_internal/transport/target_http.py
@@ -0,0 +1,158 @@
+"""HTTP client from the host daemon to the target beside it."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from ..protocol import headers as names
+from ..protocol.answers import Answer, Body
+from ..protocol.frames import INLINE_BODY, CallHead, Headers
+from ..state.refusals import Executed, Refusal, RefusalReason
+
+# Time to open a connection to a target on the same VM, in seconds.
+CONNECT_TIMEOUT = 1.0
+_SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class TargetClient:
+    """Sends calls to targets and returns their answers.
+
+    Non-idempotent calls use a fresh connection each: on a reused one the target may
+    have closed it just before, and the call would end with an unknown outcome.
+    """
+
+    def __init__(self) -> None:
+        self._reusing = _session(force_close=False)
+        self._fresh = _session(force_close=True)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._reusing.close()
+        await self._fresh.close()
+
+    async def send(
+        self, address: str, head: CallHead, body: Body, remaining: float
+    ) -> Answer | Refusal:
+        """Send one call; ``remaining`` is its time left in seconds."""
+        session = self._reusing if head.idempotent else self._fresh
+        try:
+            async with asyncio.timeout(remaining):
+                response = await session.request(
+                    head.method,
+                    URL(f"http://{address}{head.path}", encoded=True),
+                    headers=_request_headers(head, remaining),
+                    data=_request_body(body),
+                    allow_redirects=False,
+                )
+        except aiohttp.ClientConnectorError as error:
+            return _refusal(RefusalReason.CONNECT_FAILED, Executed.NO, error)
+        except TimeoutError as error:
+            return _refusal(RefusalReason.DEADLINE_EXCEEDED, Executed.UNKNOWN, error)
+        except (aiohttp.ClientError, OSError) as error:
+            return _refusal(RefusalReason.TARGET_FAILED, Executed.UNKNOWN, error)
+        return await _answer(response, head.method)
+
+
+class _ResponseBody:
+    """The body of a target's answer, read as it arrives."""
+
+    def __init__(self, *, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+
+    async def read(self) -> bytes | None | Refusal:
+        try:
+            part = await self._response.content.readany()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return _refusal(RefusalReason.SHORT_BODY, Executed.UNKNOWN, error)
+        return part or None
+
+    def close(self) -> None:
+        if not self._response.content.at_eof():
+            self._response.close()
+
+
+def _session(*, force_close: bool) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=force_close, keepalive_timeout=30, use_dns_cache=False
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=_SKIPPED,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
+    )
+
+
+async def _answer(response: aiohttp.ClientResponse, method: str) -> Answer | Refusal:
+    length = response.content_length
+    # Some answers announce the length of a body that they do not carry.
+    if method == "HEAD" or response.status in (204, 304):
+        response.release()
+        return Answer(
+            status=response.status,
+            headers=_response_headers(response),
+            body_length=length,
+            body=b"",
+        )
+    body: Body = _ResponseBody(response=response)
+    if length is not None and length <= INLINE_BODY:
+        try:
+            body = await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            return _refusal(RefusalReason.SHORT_BODY, Executed.UNKNOWN, error)
+    return Answer(
+        status=response.status,
+        headers=_response_headers(response),
+        body_length=length,
+        body=body,
+    )
+
+
+def _request_headers(head: CallHead, remaining: float) -> CIMultiDict[str]:
+    headers: CIMultiDict[str] = CIMultiDict(head.headers)
+    headers[names.DEADLINE] = str(max(1, int(remaining * 1000)))
+    headers[names.ATTEMPT] = str(head.attempt)
+    headers[names.DEPTH] = str(head.depth + 1)
+    headers[names.CUSTOMER] = head.customer
+    if head.body_length is not None and (head.body_length or head.method == "POST"):
+        headers["Content-Length"] = str(head.body_length)
+    return headers
+
+
+def _request_body(body: Body) -> bytes | AsyncIterator[bytes] | None:
+    if isinstance(body, bytes):
+        return body or None
+    return _parts(body)
+
+
+async def _parts(body: Body) -> AsyncIterator[bytes]:
+    assert not isinstance(body, bytes)
+    while True:
+        part = await body.read()
+        if part is None:
+            return
+        if isinstance(part, Refusal):
+            # Raising makes the client close the connection, so that the target
+            # sees a cut request and not a complete one.
+            raise aiohttp.ClientPayloadError(part.reason.value)
+        yield part
+
+
+def _response_headers(response: aiohttp.ClientResponse) -> Headers:
+    return [
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in names.HOP_BY_HOP
+    ]
+
+
+def _refusal(
+    reason: RefusalReason, executed: Executed, error: BaseException
+) -> Refusal:
+    return Refusal(
+        reason=reason, executed=executed, detail=str(error) or type(error).__name__
+    )
