--- a/devtools/platform.py
+++ b/devtools/platform.py
@@ -3,12 +3,14 @@
 Faults are switched with ``POST /faults`` (JSON): ``delay`` in seconds before each
 request, ``down`` (answers 503 without effect), ``refuse_writes`` (503 to writes),
 ``lose_answers`` (the next N writes take effect, then the connection is closed).
-``GET /counters`` returns requests by operation as JSON.
+``GET /counters`` returns requests by operation as JSON, ``GET /commits`` the wall time
+at which each configuration version was committed.
 """
 
 import argparse
 import asyncio
 import json
+import time
 from collections import Counter
 from typing import Any
 
@@ -24,6 +26,7 @@
     def __init__(self) -> None:
         self.row_by_key: dict[str, tuple[Any, int]] = {}
         self.revision = 0
+        self.commit_time_by_version: dict[int, float] = {}
 
     def transact(self, body: dict[str, Any]) -> dict[str, Any]:
         """Apply all writes if all conditions hold, otherwise none."""
@@ -37,6 +40,8 @@
         self.revision += 1
         for key, value in body["puts"]:
             self.row_by_key[key] = (value, self.revision)
+            if key == "config/head":
+                self.commit_time_by_version[value["version"]] = time.time()
         for key in body["removes"]:
             self.row_by_key.pop(key, None)
         return {"committed": True, "revision": self.revision}
@@ -125,6 +130,9 @@
     async def counters(request: web.Request) -> web.Response:
         return web.json_response(dict(platform.count_by_operation))
 
+    async def commits(request: web.Request) -> web.Response:
+        return web.json_response(platform.table.commit_time_by_version)
+
     app = web.Application(client_max_size=256 << 20)
     app.router.add_post("/table/read", read)
     app.router.add_post("/table/scan", scan)
@@ -133,6 +141,7 @@
     app.router.add_put("/objects/{name:.+}", put_object)
     app.router.add_post("/faults", set_faults)
     app.router.add_get("/counters", counters)
+    app.router.add_get("/commits", commits)
     return app
 
 
--- /dev/null
+++ b/devtools/quickstart.py
@@ -0,0 +1,377 @@
+"""Runs a whole layout for less than a minute and reports whether the promises held.
+
+The platform stand-in, a daemon and a target for each VM run as processes of their
+own. Callers send mixed traffic while a list is edited twice with the real command
+line, one daemon is killed and restarted, and one target drains.
+"""
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from .layouts import TARGET_PORT, Layout, Vm, build_layout, free_net
+from .processes import LayoutProcesses
+from .traffic import STREAMS_BY_LAYOUT, Account, Traffic
+
+LISTS = Path(__file__).parent / "lists"
+# Seconds of traffic around each step of the tour.
+STEP = 4.0
+CONVERGENCE_LIMIT = 8.0  # seconds; the brief's bound on a change
+# Clocks of one VM and its neighbours agree here; the margin covers the time between
+# the spending of a token and the start of the call at the target.
+LOG_MARGIN = 0.001
+
+
+@dataclass(slots=True, kw_only=True)
+class Report:
+    """What was measured; ``broken`` lists promises that did not hold."""
+
+    convergence_by_version: dict[int, list[float]] = field(default_factory=dict)
+    control_bytes: float = 0.0
+    cross_region_bytes: float = 0.0
+    retried_by_reason: Counter[str] = field(default_factory=Counter)
+    run_twice: int = 0
+    ran_although_refused: int = 0
+    over_allowance: int = 0
+    invariant_failures: float = 0.0
+    broken: list[str] = field(default_factory=list)
+
+
+async def run_cli(layout: Layout, *arguments: str) -> tuple[int, str]:
+    """Run the real command line and return its exit code and output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "cassiasail._internal.cli.main",
+        *arguments,
+        f"--store={layout.store}",
+        f"--daemons={','.join(vm.admin for vm in layout.vms[:3])}",
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    return process.returncode or 0, output.decode()
+
+
+async def apply_lists(processes: LayoutProcesses, changes: Sequence[str] = ()) -> None:
+    """Commit the layout's lists; each change is ``OLD=>NEW`` in ``plans.ini``."""
+    layout = processes.layout
+    directory = processes.directory / "lists"
+    directory.mkdir(exist_ok=True)
+    for name in ("plans.ini", "customers.ini"):
+        text = (LISTS / layout.name / name).read_text()
+        for change in changes:
+            old, _, new = change.partition("=>")
+            text = text.replace(old, new)
+        (directory / name).write_text(text)
+    files = (str(directory / "plans.ini"), str(directory / "customers.ini"))
+    code, output = await run_cli(layout, "apply", *files)
+    print(output.strip())
+    if code != 0:
+        raise RuntimeError(f"cassiasail apply ended with exit code {code}")
+
+
+async def version_history(processes: LayoutProcesses, vm: Vm) -> dict[int, float]:
+    """Return the wall time at which a daemon put each version in force."""
+    page = await processes.get_json(f"http://{vm.admin}/versions")
+    return {int(version): at for version, at in page.items()}
+
+
+async def wait_for_version(processes: LayoutProcesses, version: int) -> None:
+    """Wait until every daemon has ``version`` or a later one in force."""
+    async with asyncio.timeout(3 * CONVERGENCE_LIMIT):
+        for vm in processes.layout.vms:
+            while True:
+                status = await processes.get_json(f"http://{vm.admin}/status")
+                if status["version"] >= version:
+                    break
+                await asyncio.sleep(0.05)
+
+
+async def tour(processes: LayoutProcesses, traffic: Traffic) -> dict[str, Any]:
+    """Edit twice, kill and restart a daemon, drain a target, under traffic."""
+    layout = processes.layout
+    commits = f"http://{layout.store}/commits"
+    await asyncio.sleep(STEP)
+    await apply_lists(processes, ["burst = 80=>burst = 90"])
+    await wait_for_version(processes, 2)
+    histories = [await version_history(processes, vm) for vm in layout.vms]
+
+    killed = layout.vms[1]
+    print(f"killing and restarting the daemon of {killed.name}")
+    traffic.avoided.add(killed.name)
+    # Calls that the daemon holds for callers are lost with it; let them finish, so
+    # that every result of the report has one cause.
+    await asyncio.sleep(0.5)
+    processes.signal(f"daemon-{killed.name}", signal.SIGKILL)
+    await processes.wait_exit(f"daemon-{killed.name}")
+    await asyncio.sleep(STEP)
+    await processes.start_daemon(killed)
+    await processes.wait_for(f"http://{killed.admin}/readyz")
+    traffic.avoided.discard(killed.name)
+
+    drained = layout.vms[2]
+    print(f"draining the target of {drained.name}")
+    stats = f"http://{drained.ip}:{TARGET_PORT}"
+    processes.signal(f"target-{drained.name}", signal.SIGTERM)
+    drain_started = time.time()
+    last = await _last_state(processes, drained)
+    if last["last_call_at"] > drain_started + 2.0:
+        last["late"] = True
+    await apply_lists(processes, ["burst = 80=>burst = 100"])
+    await wait_for_version(processes, 3)
+    histories += [await version_history(processes, vm) for vm in layout.vms]
+    await asyncio.sleep(STEP)
+    return {
+        "commits": await processes.get_json(commits),
+        "histories": histories,
+        "drained": last,
+        "drained_url": stats,
+    }
+
+
+async def _last_state(processes: LayoutProcesses, vm: Vm) -> dict[str, Any]:
+    """Return the last record of a target that is about to exit."""
+    last: dict[str, Any] = {"stats": {}, "calls": [], "last_call_at": 0.0}
+    base = f"http://{vm.ip}:{TARGET_PORT}"
+    while True:
+        try:
+            last["calls"] = await processes.get_json(f"{base}/_calls")
+            last["stats"] = await processes.get_json(f"{base}/_stats")
+            last["last_call_at"] = last["stats"]["last_call_at"]
+        except OSError:
+            return last
+        await asyncio.sleep(0.1)
+
+
+def fill_convergence(report: Report, seen: dict[str, Any]) -> None:
+    """Add the time from commit to each daemon, for each version after the first."""
+    for version_text, committed in seen["commits"].items():
+        version = int(version_text)
+        times = [
+            max(0.0, history[version] - committed)
+            for history in seen["histories"]
+            if version in history
+        ]
+        # The first version waits for daemons that are still starting.
+        if version > 1 and times:
+            report.convergence_by_version[version] = sorted(times)
+
+
+async def fill_metrics(report: Report, processes: LayoutProcesses) -> None:
+    """Add up the counters of all daemons."""
+    for vm in processes.layout.vms:
+        async with processes.session.get(f"http://{vm.admin}/metrics") as response:
+            text = await response.text()
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                _add_sample(report, sample.name, sample.labels, sample.value)
+
+
+def _add_sample(
+    report: Report, name: str, labels: dict[str, str], value: float
+) -> None:
+    if name == "cassiasail_control_bytes_total" and labels["direction"] == "sent":
+        report.control_bytes += value
+        if labels["scope"] == "cross_region":
+            report.cross_region_bytes += value
+    elif name == "cassiasail_calls_retried_total":
+        report.retried_by_reason[labels["reason"]] += int(value)
+    elif name == "cassiasail_invariant_failures_total":
+        report.invariant_failures += value
+
+
+def over_allowance(
+    calls: Iterable[tuple[float, float]],
+    *,
+    rate: float,
+    burst: int,
+    in_flight: int,
+    slack: float,
+) -> int:
+    """Return by how many calls the log exceeds an allowance.
+
+    A call starts at its target at most ``slack`` seconds after its token was spent,
+    so a window of t seconds may show rate * (t + slack) + burst calls.
+    """
+    ordered = sorted(calls)
+    level, last, worst = float(burst) + rate * slack, None, 0.0
+    for start, _ in ordered:
+        if last is not None:
+            level = min(burst + rate * slack, level + rate * (start - last))
+        level, last = level - 1, start
+        worst = min(worst, level)
+    events = sorted(
+        event
+        for start, end in ordered
+        if end > start
+        for event in ((start, 1), (end - LOG_MARGIN, -1))
+    )
+    running = most = 0
+    for _, change in events:
+        running += change
+        most = max(most, running)
+    return int(-worst // 1) + max(0, most - in_flight)
+
+
+async def fill_executions(
+    report: Report, processes: LayoutProcesses, seen: dict[str, Any], account: Account
+) -> None:
+    """Compare what the targets executed with what callers were told."""
+    runs: Counter[str] = Counter(seen["drained"]["stats"].get("runs_by_key", {}))
+    calls = list(seen["drained"]["calls"])
+    for vm in processes.layout.vms:
+        if f"http://{vm.ip}:{TARGET_PORT}" == seen["drained_url"]:
+            continue
+        base = f"http://{vm.ip}:{TARGET_PORT}"
+        runs.update((await processes.get_json(f"{base}/_stats"))["runs_by_key"])
+        calls += await processes.get_json(f"{base}/_calls")
+    report.run_twice = sum(1 for count in runs.values() if count > 1)
+    report.ran_although_refused = sum(1 for key in account.refused_keys if runs[key])
+    slack = max(account.seconds, default=0.0)
+    for row in await _allowances(processes):
+        log = [
+            (start, end)
+            for start, end, customer, path in calls
+            if customer == row["customer"] and path.startswith(row["path"])
+        ]
+        report.over_allowance += over_allowance(
+            log,
+            rate=row["rate"],
+            burst=row["burst"],
+            in_flight=row["in_flight"],
+            slack=slack,
+        )
+
+
+async def _allowances(processes: LayoutProcesses) -> list[dict[str, Any]]:
+    admin = processes.layout.vms[0].admin
+    pairs = {
+        (stream.customer, stream.service)
+        for stream in STREAMS_BY_LAYOUT[processes.layout.name]
+    }
+    rows = []
+    for customer, service in sorted(pairs):
+        url = f"http://{admin}/explain?customer={customer}&service={service}"
+        found = await processes.get_json(url)
+        rows += [{"customer": customer, **route} for route in found["routes"]]
+    return rows
+
+
+def judge(report: Report, account: Account, seen: dict[str, Any]) -> None:
+    """List the promises that broke."""
+    promises = (
+        ("a call ran twice", report.run_twice),
+        ("a call ran although it was refused as not run", report.ran_although_refused),
+        ("an answer was cut", account.cut),
+        ("an answer was not that to its own request", account.wrong),
+        ("calls exceeded an allowance", report.over_allowance),
+        ("a call got no result", account.connection_lost),
+        ("an invariant failed", report.invariant_failures),
+        ("a draining target got work after 2 s", seen["drained"].get("late", 0)),
+        ("no call was answered", int(account.answered == 0)),
+    )
+    report.broken += [text for text, count in promises if count]
+    slowest = [times[-1] for times in report.convergence_by_version.values()]
+    if len(slowest) < 2 or max(slowest) > CONVERGENCE_LIMIT:
+        report.broken.append(f"a change took more than {CONVERGENCE_LIMIT:g} s")
+
+
+def print_report(report: Report, account: Account, *, seconds: float) -> None:
+    """Print the report as a short table."""
+    for version, times in sorted(report.convergence_by_version.items()):
+        middle = times[len(times) // 2]
+        print(
+            f"convergence of version {version}: p50 {middle * 1000:.0f} ms, "
+            f"p99 {times[int(0.99 * (len(times) - 1))] * 1000:.0f} ms, "
+            f"max {times[-1] * 1000:.0f} ms ({len(times)} daemons)"
+        )
+    refused = ", ".join(
+        f"{reason} {count}" for reason, count in account.refused_by_reason.most_common()
+    )
+    retried = ", ".join(
+        f"{reason} {count}" for reason, count in report.retried_by_reason.most_common()
+    )
+    rows = (
+        ("control bytes sent", f"{report.control_bytes:.0f}"),
+        ("  of these across regions", f"{report.cross_region_bytes:.0f}"),
+        ("calls with a result", f"{account.sent}"),
+        ("  answered", f"{account.answered}"),
+        ("  refused", f"{sum(account.refused_by_reason.values())} ({refused})"),
+        ("retried by daemons", retried or "0"),
+        ("sent again by callers", f"{account.resent}"),
+        ("lost", f"{account.connection_lost} (must be 0)"),
+        ("run twice", f"{report.run_twice} (must be 0)"),
+        ("run although refused", f"{report.ran_although_refused} (must be 0)"),
+        ("cut", f"{account.cut} (must be 0)"),
+        ("wrong answer", f"{account.wrong} (must be 0)"),
+        ("over allowance", f"{report.over_allowance} (must be 0)"),
+        ("failed invariants", f"{report.invariant_failures:.0f} (must be 0)"),
+        ("seconds", f"{seconds:.1f}"),
+    )
+    for name, value in rows:
+        print(f"{name:28} {value}")
+
+
+async def run(layout_name: str, seed: int) -> int:
+    """Run the tour and return the exit code."""
+    started = time.monotonic()
+    layout = build_layout(layout_name, net=free_net())
+    processes = LayoutProcesses(layout=layout)
+    report = Report()
+    traffic = Traffic(
+        layout=layout,
+        streams=STREAMS_BY_LAYOUT[layout_name],
+        rng=random.Random(seed),
+    )
+    try:
+        print(f"starting {len(layout.vms)} VMs in {len(layout.data_centres)} centres")
+        await processes.start()
+        await asyncio.gather(
+            *(processes.wait_for(f"http://{vm.admin}/healthz") for vm in layout.vms)
+        )
+        await apply_lists(processes)
+        await wait_for_version(processes, 1)
+        await asyncio.sleep(STEP)
+        sending = asyncio.create_task(traffic.run())
+        seen = await tour(processes, traffic)
+        traffic.stop()
+        await sending
+        fill_convergence(report, seen)
+        await fill_metrics(report, processes)
+        await fill_executions(report, processes, seen, traffic.account)
+        judge(report, traffic.account, seen)
+    finally:
+        await processes.stop()
+    print_report(report, traffic.account, seconds=time.monotonic() - started)
+    for text in report.broken:
+        print(f"BROKEN: {text}")
+    if not report.broken:
+        print("all promises held")
+    return 1 if report.broken else 0
+
+
+def main() -> None:
+    """Run as a program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--layout", choices=sorted(STREAMS_BY_LAYOUT), default="utility"
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    sys.exit(asyncio.run(run(options.layout, options.seed)))
+
+
+if __name__ == "__main__":
+    main()
--- a/devtools/target.py
+++ b/devtools/target.py
@@ -1,9 +1,10 @@
 """Stand-in for a worker of a service: a small HTTP server with a bounded number of
 slots that announces itself to the daemon beside it.
 
-``GET /_stats`` returns what it executed, so that tests and reports can compare the
-daemons' answers with the truth. The request header ``Work-Ms`` sets the time one
-call takes, ``Answer-Bytes`` the length of the answer, ``Crash`` ends the process.
+``GET /_stats`` and ``GET /_calls`` return what it executed, so that tests and reports
+can compare the daemons' answers with the truth. The request header ``Work-Ms`` sets
+the time one call takes, ``Answer-Bytes`` the length of the answer, ``Crash`` ends the
+process.
 """
 
 import argparse
@@ -34,28 +35,24 @@
         self.executed = 0
         self.cancelled = 0
         self.runs_by_key: Counter[str] = Counter()
-        self.in_flight_by_customer: Counter[str] = Counter()
-        self.most_by_customer: dict[str, int] = {}
-        self.last_call_at = 0.0
+        # Start, end, customer and path of each call; end is 0.0 while it runs.
+        self.calls: list[tuple[float, float, str, str]] = []
 
-    def begin(self, customer: str, key: str | None) -> None:
-        """Note that a call starts."""
+    def begin(self, customer: str, path: str, key: str | None) -> int:
+        """Note that a call starts; return its place in the log."""
         self.executed += 1
-        self.last_call_at = time.time()
         if key is not None:
             self.runs_by_key[key] += 1
         self.in_flight += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
-        self.in_flight_by_customer[customer] += 1
-        self.most_by_customer[customer] = max(
-            self.most_by_customer.get(customer, 0),
-            self.in_flight_by_customer[customer],
-        )
+        self.calls.append((time.time(), 0.0, customer, path))
+        return len(self.calls) - 1
 
-    def end(self, customer: str) -> None:
+    def end(self, place: int) -> None:
         """Note that a call ended."""
         self.in_flight -= 1
-        self.in_flight_by_customer[customer] -= 1
+        start, _, customer, path = self.calls[place]
+        self.calls[place] = (start, time.time(), customer, path)
 
     def stats(self) -> dict[str, Any]:
         """Return everything as JSON-encodable values."""
@@ -67,8 +64,7 @@
             "executed": self.executed,
             "cancelled": self.cancelled,
             "runs_by_key": dict(self.runs_by_key),
-            "most_by_customer": self.most_by_customer,
-            "last_call_at": self.last_call_at,
+            "last_call_at": self.calls[-1][0] if self.calls else 0.0,
         }
 
 
@@ -78,13 +74,17 @@
     async def stats(request: web.Request) -> web.Response:
         return web.json_response(target.stats())
 
+    async def calls(request: web.Request) -> web.Response:
+        return web.json_response(target.calls)
+
     async def set_state(request: web.Request) -> web.Response:
         target.state = (await request.json())["state"]
         return web.Response()
 
     async def work(request: web.Request) -> web.StreamResponse:
         customer = request.headers.get("Cassiasail-Customer", "")
-        target.begin(customer, request.headers.get("Idempotency-Key"))
+        key = request.headers.get("Idempotency-Key")
+        place = target.begin(customer, request.path, key)
         try:
             body = await request.read()
             if "Crash" in request.headers:
@@ -95,7 +95,7 @@
             target.cancelled += 1
             raise
         finally:
-            target.end(customer)
+            target.end(place)
 
     async def answer(request: web.Request, body: bytes) -> web.StreamResponse:
         length = int(request.headers.get("Answer-Bytes", 0))
@@ -112,6 +112,7 @@
 
     app = web.Application(client_max_size=64 << 20)
     app.router.add_get("/_stats", stats)
+    app.router.add_get("/_calls", calls)
     app.router.add_post("/_state", set_state)
     app.router.add_route("*", "/{path:.*}", work)
     return app
