--- /dev/null
+++ b/tests/unit/test_messages.py
@@ -0,0 +1,136 @@
+"""Messages survive a round trip; hostile bytes raise ProtocolError, nothing else."""
+
+import zlib
+from typing import Any
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiasail._internal.ids import DaemonId, DataCentre, Version
+from cassiasail._internal.protocol import messages as m
+from cassiasail._internal.state.lists import Delta, Snapshot
+from cassiasail._internal.state.members import (
+    Endpoint,
+    EndpointState,
+    MemberRecord,
+    MemberState,
+)
+from cassiasail.exceptions import ProtocolError
+
+NAMES = st.text(min_size=1, max_size=12)
+NUMBERS = st.integers(0, (1 << 63) - 1)
+CENTRES = NAMES.map(DataCentre)
+ROWS = st.dictionaries(NAMES, st.dictionaries(NAMES, NUMBERS, max_size=2), max_size=4)
+DIGEST64, DIGEST128 = st.integers(0, (1 << 64) - 1), st.integers(0, (1 << 128) - 1)
+RECORDS = st.builds(
+    MemberRecord,
+    id=NAMES,
+    incarnation=NUMBERS,
+    sequence=NUMBERS,
+    region=NAMES,
+    data_centre=NAMES,
+    peer_addr=NAMES,
+    http_addr=NAMES,
+    admin_addr=NAMES,
+    state=st.sampled_from(MemberState),
+    endpoints=st.lists(
+        st.builds(
+            Endpoint,
+            service=NAMES,
+            target_id=NAMES,
+            state=st.sampled_from(EndpointState),
+            slots=NUMBERS,
+            started=NUMBERS,
+        ),
+        max_size=3,
+    ).map(tuple),
+)
+DELTAS = st.builds(
+    Delta,
+    version=NUMBERS,
+    base=NUMBERS,
+    digest=DIGEST128,
+    changed_by_key=ROWS,
+    removed=st.lists(NAMES, max_size=3).map(tuple),
+)
+SNAPSHOTS = st.builds(Snapshot, version=NUMBERS, digest=DIGEST128, rows_by_key=ROWS)
+DIGESTS = st.dictionaries(CENTRES, DIGEST64, max_size=3)
+COUNTERS = st.dictionaries(CENTRES, NUMBERS, max_size=3)
+STRAGGLERS = st.lists(st.builds(m.Straggler, NAMES, NUMBERS, NAMES), max_size=2)
+MESSAGES = st.one_of(
+    st.builds(m.Hello, NUMBERS, RECORDS, NUMBERS, DIGEST128, DIGESTS),
+    st.builds(m.Attach, st.booleans()),
+    st.builds(m.Have, NUMBERS),
+    st.builds(m.Pull, NUMBERS, st.booleans()),
+    st.builds(m.Refused, NUMBERS, NAMES, NAMES),
+    st.builds(m.Deltas, st.lists(DELTAS, max_size=3).map(tuple)),
+    st.builds(m.SnapshotMessage, SNAPSHOTS),
+    st.builds(m.Members, st.lists(RECORDS, max_size=5).map(tuple)),
+    st.builds(m.MemberDigests, NUMBERS, DIGESTS),
+    st.builds(
+        m.BucketDigests,
+        st.dictionaries(
+            CENTRES, st.one_of(st.just(()), st.tuples(*[DIGEST64] * 16)), max_size=2
+        ),
+    ),
+    st.builds(m.MemberPull, COUNTERS),
+    st.builds(m.Ping),
+    st.builds(m.Pong),
+    st.builds(m.Heartbeats, COUNTERS),
+    st.builds(
+        m.Notice, st.binary(max_size=16), NAMES, st.binary(max_size=600), NUMBERS
+    ),
+    st.builds(m.Busy, st.floats(0, 3600), st.booleans()),
+    st.builds(
+        m.StatusReport,
+        st.dictionaries(CENTRES, st.dictionaries(NUMBERS, NUMBERS, max_size=2)),
+        STRAGGLERS.map(tuple),
+        st.none() | st.lists(NAMES.map(DaemonId), max_size=2).map(tuple),
+    ),
+)
+
+
+@given(MESSAGES, st.binary(max_size=3), st.integers(0, 10_000), st.integers(0, 255))
+def test_round_trip_and_damage(
+    message: m.Message, tail: bytes, position: int, byte: int
+) -> None:
+    """Guards against a lost field, and against damage that raises another error."""
+    data = m.encode(message)
+    assert m.decode(data) == message
+    damaged = bytearray(data)
+    damaged[position % len(data)] = byte
+    for hostile in (bytes(damaged), data[: position % len(data)], data + tail):
+        try:
+            m.decode(hostile)
+        except ProtocolError:
+            pass
+
+
+@given(st.recursive(st.none() | NUMBERS | NAMES | st.binary(), st.lists))
+def test_arbitrary_values_raise_only_protocol_errors(value: Any) -> None:
+    """Guards against a well-formed CBOR value of the wrong shape."""
+    for number in range(1, 18):
+        for body in ([number, value], [number] + [value] * 6):
+            try:
+                m.decode(b"\0" + cbor2.dumps(body))
+            except ProtocolError:
+                pass
+
+
+def test_neighbouring_software_versions() -> None:
+    """Guards against an upgrade during which daemons refuse each other's messages."""
+    assert m.decode(b"\0" + cbor2.dumps([200, "future"])) is None
+    longer = cbor2.dumps([3, 7, "future field"])
+    assert m.decode(b"\0" + longer) == m.Have(Version(7))
+    with pytest.raises(ProtocolError, match="lacks fields"):
+        m.decode(b"\0" + cbor2.dumps([4, 7]))
+
+
+def test_size_limits() -> None:
+    """Guards against a peer that exhausts memory with one message."""
+    with pytest.raises(ProtocolError, match="exceeds"):
+        m.decode(b"\1" + zlib.compress(b"\0" * (9 << 20)))
+    with pytest.raises(ProtocolError, match="exceeds"):
+        m.decode(b"\0" * (m.MAX_MESSAGE_BYTES + 1))
