--- /dev/null
+++ b/tests/unit/test_frames.py
@@ -0,0 +1,83 @@
+"""Frames survive the wire, and malformed ones are refused with one error type."""
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cassiasail._internal.protocol.frames import (
+    AnswerFrame,
+    CallHead,
+    DataFrame,
+    HeadFrame,
+    LoadReport,
+    ResetFrame,
+    decode_frame,
+    encode_frame,
+)
+from cassiasail._internal.state.refusals import Executed, Refusal, RefusalReason
+from cassiasail.exceptions import ProtocolError
+
+HEAD = CallHead(
+    target="outlook-1",
+    service="outlook-svc",
+    route="/outlooks",
+    customer="desk",
+    call_class="lookup",
+    method="GET",
+    path="/outlooks/1?x=1",
+    headers=[("X-A", "1"), ("X-A", "2")],
+    remaining=1.5,
+    attempt=1,
+    depth=3,
+    fingerprint=b"f" * 16,
+    idempotent=True,
+    body_length=None,
+)
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        HeadFrame(stream=1, head=HEAD, body=b"abc"),
+        AnswerFrame(
+            stream=2,
+            status=200,
+            headers=[("A", "b")],
+            body_length=4,
+            body=None,
+            report=LoadReport(slots=9, in_flight=1, queued=0, expected_wait=0.25),
+        ),
+        DataFrame(stream=3, data=b"x"),
+        ResetFrame(
+            stream=4,
+            refusal=Refusal(
+                reason=RefusalReason.SHED, executed=Executed.NO, retry_after=1.0
+            ),
+        ),
+    ],
+)
+def test_frame_survives_the_wire(frame: HeadFrame) -> None:
+    """Guards against fields that are lost or swapped by the encoding."""
+    assert decode_frame(encode_frame(frame)) == frame
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_frame_or_a_protocol_error(data: bytes) -> None:
+    """Guards against a malformed frame that ends the daemon."""
+    with pytest.raises(ProtocolError):
+        decode_frame(data)
+        raise ProtocolError("decoded by chance")
+
+
+_SCALARS = st.none() | st.integers() | st.text(max_size=5) | st.binary(max_size=5)
+
+
+@given(st.integers(0, 12), st.lists(_SCALARS | st.lists(_SCALARS), max_size=9))
+def test_wrong_fields_are_a_protocol_error(kind: int, fields: list[object]) -> None:
+    """Guards against well-formed CBOR of the wrong shape that ends the daemon."""
+    try:
+        frame = decode_frame(cbor2.dumps([kind, 1, *fields]))
+    except ProtocolError:
+        return
+    assert frame.stream == 1
