--- /dev/null
+++ b/devtools/simulation.py
@@ -0,0 +1,51 @@
+"""Virtual time with timers, for benches, fuzz runs and tests without real waiting."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+
+class Timer:
+    """A callback that is due at ``time`` unless cancelled."""
+
+    def __init__(self, time: float, callback: Callable[[], None]) -> None:
+        self.time = time
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Make the timer do nothing."""
+        self.callback = None
+
+
+class Simulation:
+    """A clock whose timers run in order of time, then of their creation."""
+
+    def __init__(self, start: float = 1000.0) -> None:
+        self._now = start
+        self._order = itertools.count()
+        self._timers: list[tuple[float, int, Timer]] = []
+
+    def now(self) -> float:
+        return self._now
+
+    def wall(self) -> float:
+        return 1_700_000_000.0 + self._now
+
+    async def sleep(self, seconds: float) -> None:
+        self.run(seconds)
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> Timer:
+        """Run ``callback`` after ``delay`` seconds."""
+        timer = Timer(self._now + delay, callback)
+        heapq.heappush(self._timers, (timer.time, next(self._order), timer))
+        return timer
+
+    def run(self, seconds: float) -> None:
+        """Move time forward and run what is due."""
+        end = self._now + seconds
+        while self._timers and self._timers[0][0] <= end:
+            time, _, timer = heapq.heappop(self._timers)
+            self._now = max(self._now, time)
+            if timer.callback is not None:
+                timer.callback()
+        self._now = end
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -87,3 +87,14 @@
     registry=REGISTRY,
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
 )
+TARGET_DEATHS = Counter(
+    "cassiasail_target_deaths",
+    "Deaths of target processes with calls in flight, by where they were seen.",
+    ["seen"],
+    registry=REGISTRY,
+)
+FINGERPRINTS_QUARANTINED = Counter(
+    "cassiasail_fingerprints_quarantined",
+    "Requests quarantined because targets died while running them.",
+    registry=REGISTRY,
+)
