--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -96,3 +96,14 @@
 QUOTA_SHARDS = Gauge(
     "cassiasail_quota_shards", "Quota shards owned by this daemon.", registry=REGISTRY
 )
+TARGET_DEATHS = Counter(
+    "cassiasail_target_deaths",
+    "Deaths of target processes with calls in flight, by where they were seen.",
+    ["seen"],
+    registry=REGISTRY,
+)
+FINGERPRINTS_QUARANTINED = Counter(
+    "cassiasail_fingerprints_quarantined",
+    "Requests quarantined because targets died while running them.",
+    registry=REGISTRY,
+)
