--- /dev/null
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -0,0 +1,245 @@
+"""Where this daemon hangs in the relay tree: joining, parent, healing of splits."""
+
+from collections.abc import Callable, Sequence
+
+from ..ids import DaemonId, DataCentre, Region
+from ..protocol.messages import Attach
+from ..state.members import MemberRecord, MemberState, MemberTable
+from . import topology
+from .dialing import Dialer
+from .links import LinkRole, Links, PeerLink
+from .suspicion import Suspicion
+
+
+class Attachment:
+    """Chooses and keeps the parent; ``tree`` is the own view of the relay tree.
+
+    A new parent is connected before the old one is left, and a leaf stays with any
+    living relay, so a change of membership moves only the children it must.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        links: Links,
+        dialer: Dialer,
+        suspicion: Suspicion,
+        seeds: Sequence[str],
+        store_region: Region,
+        on_attached: Callable[[PeerLink], None],
+    ) -> None:
+        self._table = table
+        self._links = links
+        self._dialer = dialer
+        self._suspicion = suspicion
+        self._seeds = [seed for seed in seeds if seed != table.own.peer_addr]
+        self._store_region = store_region
+        self._on_attached = on_attached
+        self._stale_tree = True
+        self._unreachable: frozenset[DataCentre] = frozenset()
+        self._full_until: dict[DaemonId, float] = {}
+        self._contacts: list[str] = []
+        self._lonely_since = links.clock.now()
+        self._probed_at = -1e9
+        self.tree = topology.build_tree([table.own], store_region=store_region)
+        self.relays: tuple[DaemonId, ...] = ()
+        table.on_change.append(self._on_member_change)
+
+    # Roles.
+
+    @property
+    def is_head(self) -> bool:
+        """Whether this daemon is the head of its data centre."""
+        own = self._table.own
+        return self.tree.head_by_data_centre.get(own.data_centre) == own.id
+
+    @property
+    def is_root(self) -> bool:
+        """Whether this daemon is the root by its own view."""
+        return self.tree.root == self._table.own.id
+
+    @property
+    def is_poller(self) -> bool:
+        """Whether this daemon reads the store for the fleet."""
+        return self._table.own.id in self.tree.pollers
+
+    @property
+    def needs_contacts(self) -> bool:
+        """Whether no seed has answered in time and the directory should be read."""
+        waited = self._links.clock.now() - self._lonely_since
+        return self._is_alone() and waited >= self._links.options.join_wait
+
+    def is_candidate(self, record: MemberRecord) -> bool:
+        """Return whether ``record`` may become the parent by the present tree."""
+        return record.id in self._candidates()
+
+    def mark_stale(self) -> None:
+        """Compute the tree again at the next tick."""
+        self._stale_tree = True
+
+    def add_contacts(self, addresses: Sequence[str]) -> None:
+        """Take over addresses from the directory."""
+        own = self._table.own.peer_addr
+        self._contacts = [address for address in addresses if address != own]
+
+    def may_accept(self, daemon: DaemonId) -> bool:
+        """Return whether a new child fits.
+
+        Relays and heads find only one parent, so they may use twice the fan-out
+        before they are turned away; leaves try the next relay.
+        """
+        children = [link for link in self._links.children() if link.daemon != daemon]
+        limit = self._links.options.fan_out
+        upper = set(self.relays) | set(self.tree.head_by_data_centre.values())
+        return len(children) < (2 * limit if daemon in upper else limit)
+
+    def parent_is_full(self, daemon: DaemonId, seconds: float) -> None:
+        """Leave out a parent that has no room for ``seconds``."""
+        self._full_until[daemon] = self._links.clock.now() + seconds
+
+    # Time.
+
+    def tick(self) -> None:
+        """Keep the right parent; join or heal a split when there is none."""
+        self._refresh_tree()
+        candidates = self._candidates()
+        if candidates:
+            self._keep_parent(candidates)
+        elif self._links.parent is not None:
+            self._detach(self._links.parent)
+        if self._is_alone():
+            self._join()
+        elif self._links.parent is None:
+            self._lonely_since = self._links.clock.now()
+            self._heal()
+        else:
+            self._lonely_since = self._links.clock.now()
+
+    def _on_member_change(
+        self, old: MemberRecord | None, new: MemberRecord | None
+    ) -> None:
+        # Endpoints and sequences change often and do not move the tree.
+        before = old is not None and _place(old)
+        if before != (new is not None and _place(new)):
+            self._stale_tree = True
+
+    def _refresh_tree(self) -> None:
+        if not self._stale_tree and self._unreachable == self._table.unreachable:
+            return
+        self._stale_tree = False
+        self._unreachable = self._table.unreachable
+        silent = self._suspicion.silent()
+        # A leaving daemon keeps its links for a while but is nobody's parent.
+        living = [
+            record
+            for record in self._table.reachable()
+            if record.id == self._table.own.id
+            or (record.state is MemberState.ALIVE and record.id not in silent)
+        ]
+        self.tree = topology.build_tree(living, store_region=self._store_region)
+        own = self._table.own
+        members = [r.id for r in living if r.data_centre == own.data_centre]
+        self.relays = topology.relays_of(
+            members,
+            head=self.tree.head_by_data_centre.get(own.data_centre),
+            fan_out=self._links.options.fan_out,
+        )
+
+    def _candidates(self) -> list[DaemonId]:
+        own = self._table.own
+        found = topology.parents_of(own, self.tree, self.relays)
+        head = self.tree.head_by_data_centre.get(own.data_centre)
+        if not found:
+            return []
+        if own.id != head:
+            return [*found, head] if head and head not in found else found
+        # Where the region head or the root does not answer across a cut, any head
+        # of higher rank keeps the tree free of cycles.
+        limit = topology.rank("head", own.id)
+        others = topology.ordered("head", self.tree.head_by_data_centre.values())
+        higher = [daemon for daemon in others if topology.rank("head", daemon) > limit]
+        root = [self.tree.root] if self.tree.root else []
+        return list(dict.fromkeys([*found, *root, *higher]))
+
+    def _keep_parent(self, candidates: list[DaemonId]) -> None:
+        parent = self._links.parent
+        stays = set(self.relays) if candidates[0] in self.relays else {candidates[0]}
+        if parent is not None and parent.daemon in stays:
+            return
+        for daemon in candidates:
+            if parent is not None and daemon == parent.daemon:
+                return
+            if self._try_parent(daemon):
+                return
+
+    def _try_parent(self, daemon: DaemonId) -> bool:
+        """Return whether ``daemon`` is now the parent or being connected."""
+        now = self._links.clock.now()
+        record = self._table.get(daemon)
+        if record is None or self._full_until.get(daemon, 0.0) > now:
+            return False
+        link = self._links.to(daemon)
+        if link is not None:
+            if link.role is LinkRole.CHILD:
+                # Both ends took the other for the child; the views will agree.
+                return False
+            self._attach(link)
+            return True
+        if self._dialer.is_dialing(record.peer_addr):
+            return True
+        return self._dialer.dial(record.peer_addr)
+
+    def _attach(self, link: PeerLink) -> None:
+        old = self._links.parent
+        link.role = LinkRole.PARENT
+        self._links.parent = link
+        self._links.send(link, Attach(True))
+        self._on_attached(link)
+        if old is not None and old is not link:
+            self._detach(old)
+
+    def _detach(self, link: PeerLink) -> None:
+        if self._links.parent is link:
+            self._links.parent = None
+        link.role = LinkRole.PEER
+        # It stays open as a peer link for a moment, so that records that cross the
+        # move still arrive.
+        link.opened_at = self._links.clock.now()
+        self._links.send(link, Attach(False))
+
+    def _is_alone(self) -> bool:
+        return len(self._table) <= 1 and not any(self._links.ready())
+
+    def _join(self) -> None:
+        use_contacts = self.needs_contacts and self._contacts
+        addresses = [*self._seeds, *(self._contacts if use_contacts else [])]
+        dialing = sum(map(self._dialer.is_dialing, addresses))
+        self._links.rng.shuffle(addresses)
+        for address in addresses:
+            # Two at a time: a herd must not open a link to every seed at once.
+            if dialing >= 2:
+                return
+            dialing += self._dialer.dial(address)
+
+    def _heal(self) -> None:
+        """Look for the other side of a split while there is no parent."""
+        now = self._links.clock.now()
+        if now - self._probed_at < self._links.options.probe_interval:
+            return
+        self._probed_at = now
+        known = {record.peer_addr for record in self._table.reachable()}
+        cut = [
+            record.peer_addr
+            for record in self._table.living()
+            if record.data_centre in self._table.unreachable
+        ]
+        dead = [record.peer_addr for record in self._table.dead()]
+        unknown = [seed for seed in self._seeds if seed not in known]
+        for addresses in (cut, dead, unknown):
+            if addresses:
+                self._dialer.dial(self._links.rng.choice(addresses))
+
+
+def _place(record: MemberRecord) -> tuple[MemberState, DataCentre, Region]:
+    return record.state, record.data_centre, record.region
--- /dev/null
+++ b/src/cassiasail/_internal/coordination/store_tasks.py
@@ -0,0 +1,219 @@
+"""Work on the store: polling for new versions and the directory of contacts."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from absl import logging
+
+from ...exceptions import ProtocolError
+from .. import metrics
+from ..ids import DataCentre, Version
+from ..state import cborcodec, listcodec
+from ..state.lists import Delta, Snapshot
+from ..state.members import MemberTable
+from ..state.versions import AppliedVersion, RefusedVersion, VersionRefusal
+from . import topology
+from .attachment import Attachment
+from .distribution import Distribution
+from .links import Links
+from .store import ABSENT, Condition, Conflict, Put, Store, StoreFailure
+
+_Item = TypeVar("_Item", Delta, Snapshot)
+
+DIRECTORY_PREFIX = "directory/"
+# A row or object that could not be read is tried again this often; an object that
+# the store does not show yet may appear.
+_RETRY_REFUSED = 5.0  # seconds
+# Another head may have rewritten the row; it is read again this often.
+_DIRECTORY_REREAD = 60.0  # seconds
+
+
+def directory_key(data_centre: DataCentre) -> str:
+    """Return the row key of the contacts of a data centre."""
+    return f"{DIRECTORY_PREFIX}{data_centre}"
+
+
+class VersionPoller:
+    """Reads ``config/head`` and offers what is newer to the distribution."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        links: Links,
+        distribution: Distribution,
+        is_poller: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._links = links
+        self._distribution = distribution
+        self._is_poller = is_poller
+        self._refused_head: object = None
+        self._refused_at = -1e9
+
+    async def poll_once(self) -> None:
+        """Read the head row once; do nothing unless this daemon is a poller."""
+        if not self._is_poller():
+            return
+        rows = await self._store.read([listcodec.HEAD_KEY])
+        if isinstance(rows, StoreFailure):
+            return
+        row = rows.get(listcodec.HEAD_KEY)
+        if row is None:
+            return
+        now = self._links.clock.now()
+        known_bad = row.value == self._refused_head
+        if known_bad and now - self._refused_at < _RETRY_REFUSED:
+            return
+        try:
+            head = listcodec.decode_head(row.value)
+        except ProtocolError as error:
+            logging.error("row %s is malformed: %s", listcodec.HEAD_KEY, error)
+            self._refuse(self._next_version(), VersionRefusal.MALFORMED, row.value)
+            return
+        held = self._distribution.lists
+        if head.version < held.version:
+            return
+        if head.version == held.version:
+            if head.digest != held.lists.digest:
+                self._refuse(head.version, VersionRefusal.DIGEST, row.value)
+            return
+        await self._fetch(head, row.value)
+
+    def _next_version(self) -> Version:
+        return Version(self._distribution.lists.version + 1)
+
+    async def _fetch(self, head: listcodec.HeadRow, raw: object) -> None:
+        delta = await self._read_object(head, head.delta, listcodec.decode_delta)
+        if isinstance(delta, StoreFailure):
+            return
+        if isinstance(delta, Delta) and delta.base == self._distribution.lists.version:
+            outcome = self._distribution.offer(delta)
+            if isinstance(outcome, AppliedVersion):
+                return
+            if outcome.reason is VersionRefusal.CONTENT:
+                # The snapshot has the same content.
+                self._remember(raw)
+                return
+        snapshot = await self._read_object(
+            head, head.snapshot, listcodec.decode_snapshot
+        )
+        if isinstance(snapshot, StoreFailure):
+            return
+        if isinstance(snapshot, VersionRefusal):
+            self._refuse(head.version, snapshot, raw)
+            return
+        # While the objects were read, a peer may have brought this version.
+        if head.version <= self._distribution.lists.version:
+            return
+        outcome = self._distribution.offer(snapshot)
+        if isinstance(outcome, RefusedVersion):
+            self._remember(raw)
+
+    async def _read_object(
+        self, head: listcodec.HeadRow, name: str, decode: Callable[[bytes], _Item]
+    ) -> _Item | VersionRefusal | StoreFailure:
+        data = await self._store.get_object(name)
+        if isinstance(data, StoreFailure):
+            return data
+        if data is None:
+            return VersionRefusal.MISSING
+        try:
+            found = decode(data)
+        except ProtocolError as error:
+            logging.error("object %s is malformed: %s", name, error)
+            return VersionRefusal.MALFORMED
+        if (found.version, found.digest) != (head.version, head.digest):
+            return VersionRefusal.DIGEST
+        return found
+
+    def _refuse(self, version: Version, reason: VersionRefusal, raw: object) -> None:
+        self._remember(raw)
+        self._distribution.refuse_unread(version, reason)
+
+    def _remember(self, raw: object) -> None:
+        self._refused_head = raw
+        self._refused_at = self._links.clock.now()
+
+
+class Directory:
+    """Keeps the contacts of the own data centre; reads them to join."""
+
+    def __init__(
+        self, *, store: Store, links: Links, table: MemberTable, attachment: Attachment
+    ) -> None:
+        self._store = store
+        self._links = links
+        self._table = table
+        self._attachment = attachment
+        self._revision: int | None = None
+        self._written: list[str] | None = None
+        self._read_at = -1e9
+        self._written_at = -1e9
+
+    async def maintain_once(self) -> None:
+        """Read contacts while alone, or write them as head; otherwise nothing."""
+        if self._attachment.needs_contacts:
+            await self._find_contacts()
+        elif self._attachment.is_head and len(self._table) > 1:
+            await self._write_contacts()
+
+    async def _find_contacts(self) -> None:
+        key = directory_key(self._table.own.data_centre)
+        rows = await self._store.read([key])
+        if isinstance(rows, StoreFailure):
+            return
+        row = rows.get(key)
+        contacts = _addresses(row.value) if row is not None else []
+        if len(set(contacts) - {self._table.own.peer_addr}) == 0:
+            found = await self._store.scan(DIRECTORY_PREFIX)
+            if isinstance(found, StoreFailure):
+                return
+            contacts = [a for row in found.values() for a in _addresses(row.value)]
+        self._attachment.add_contacts(contacts)
+
+    async def _write_contacts(self) -> None:
+        options, now = self._links.options, self._links.clock.now()
+        if now - self._written_at < options.directory_interval:
+            return
+        key = directory_key(self._table.own.data_centre)
+        if self._revision is None or now - self._read_at >= _DIRECTORY_REREAD:
+            rows = await self._store.read([key])
+            if isinstance(rows, StoreFailure):
+                return
+            row = rows.get(key)
+            self._read_at = now
+            self._revision = row.revision if row is not None else ABSENT
+            self._written = _addresses(row.value) if row is not None else None
+        contacts = self._contacts()
+        if contacts == self._written:
+            return
+        self._written_at = now
+        outcome = await self._store.transact(
+            [Condition(key=key, revision=self._revision)],
+            [Put(key=key, value={"contacts": contacts})],
+        )
+        if isinstance(outcome, StoreFailure | Conflict):
+            # Read the row before the next attempt: the write may have happened.
+            self._revision = None
+            return
+        self._revision, self._written = outcome.revision, contacts
+
+    def _contacts(self) -> list[str]:
+        own = self._table.own
+        ids = [record.id for record in self._table.living(own.data_centre)]
+        relays = [own.id, *self._attachment.relays]
+        chosen = dict.fromkeys([*relays, *topology.ordered("relay", ids)])
+        records = [self._table.get(daemon) for daemon in chosen]
+        addresses = [record.peer_addr for record in records if record is not None]
+        return addresses[: self._links.options.directory_contacts]
+
+
+def _addresses(value: object) -> list[str]:
+    """Return the usable contacts of a row; a malformed row has none."""
+    try:
+        listed = cborcodec.mapping(value).get("contacts")
+        return [cborcodec.text(item, limit=255) for item in cborcodec.items(listed)]
+    except ProtocolError:
+        metrics.STORE_REQUESTS.labels("directory", "malformed").inc()
+        return []
--- a/src/cassiasail/_internal/state/versions.py
+++ b/src/cassiasail/_internal/state/versions.py
@@ -5,12 +5,13 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
 from .. import invariants, metrics
 from ..ids import NO_VERSION, Version
-from .lists import Delta, Lists, Snapshot, apply_changes, lists_from_rows
+from .lists import Delta, Lists, Snapshot, apply_changes, diff, lists_from_rows
 from .routes import RouteTable, compile_routes
 
 # Deltas kept to resume peers that are behind; a larger gap needs a snapshot.
@@ -24,6 +25,19 @@
     GAP = "gap"
     DIGEST = "digest"
     CONTENT = "content"
+    MALFORMED = "malformed"
+    MISSING = "missing"
+
+
+# Refusals that say that the version itself is bad, not merely its timing.
+_BAD = frozenset(
+    (
+        VersionRefusal.DIGEST,
+        VersionRefusal.CONTENT,
+        VersionRefusal.MALFORMED,
+        VersionRefusal.MISSING,
+    )
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,22 +76,48 @@
         lists = apply_changes(self.lists, delta.changed_by_key, delta.removed)
         outcome = self._adopt(delta.version, delta.digest, lists)
         if isinstance(outcome, AppliedVersion):
-            self.delta_by_base[delta.base] = delta
-            while len(self.delta_by_base) > KEPT_DELTAS:
-                self.delta_by_base.popitem(last=False)
+            self._keep(delta)
+        return outcome
+
+    def apply_deltas(self, deltas: Sequence[Delta]) -> AppliedVersion | RefusedVersion:
+        """Apply consecutive deltas; return the first refusal or the last version.
+
+        A version whose content is refused waits for a higher one, so its delta is
+        joined with the next and both are tried as one change.
+        """
+        outcome: AppliedVersion | RefusedVersion = AppliedVersion(version=self.version)
+        refused: Delta | None = None
+        for delta in deltas:
+            if delta.version <= self.version:
+                continue
+            if refused is not None and delta.base == refused.version:
+                delta = join(refused, delta)
+            outcome = self.apply_delta(delta)
+            if isinstance(outcome, AppliedVersion):
+                refused = None
+            elif outcome.reason is VersionRefusal.CONTENT:
+                refused = delta
+            else:
+                return outcome
         return outcome
 
     def apply_snapshot(self, snapshot: Snapshot) -> AppliedVersion | RefusedVersion:
         """Replace everything by ``snapshot`` if it is newer and sound."""
         if snapshot.version <= self.version:
             return self._refuse(snapshot.version, VersionRefusal.STALE)
+        old, base = self.lists, self.version
         lists = lists_from_rows(snapshot.rows_by_key)
         outcome = self._adopt(snapshot.version, snapshot.digest, lists)
-        if isinstance(outcome, AppliedVersion):
-            # Deltas before a snapshot do not connect to it.
-            self.delta_by_base.clear()
+        if isinstance(outcome, AppliedVersion) and base != NO_VERSION:
+            # Peers at the old version resume with the difference instead of the
+            # whole snapshot.
+            self._keep(diff(old, lists, base=base, version=snapshot.version))
         return outcome
 
+    def refuse_unread(self, version: Version, reason: VersionRefusal) -> RefusedVersion:
+        """Record that ``version`` exists but could not be read."""
+        return self._refuse(version, reason)
+
     def deltas_since(self, version: Version) -> list[Delta] | None:
         """Return the deltas from ``version`` to the one in force, None if unknown."""
         deltas: list[Delta] = []
@@ -102,6 +142,9 @@
     ) -> AppliedVersion | RefusedVersion:
         if lists.digest != digest:
             return self._refuse(version, VersionRefusal.DIGEST)
+        if not lists.rows_by_key:
+            # Empty lists would refuse every call of the fleet at once.
+            return self._refuse(version, VersionRefusal.CONTENT, "no rows")
         table = compile_routes(lists, version=version)
         if isinstance(table, list):
             detail = "; ".join(f"{fault.key}: {fault.problem}" for fault in table[:5])
@@ -124,6 +167,29 @@
     ) -> RefusedVersion:
         metrics.VERSIONS_REFUSED.labels(reason.value).inc()
         refused = RefusedVersion(version=version, reason=reason, detail=detail)
-        if reason in (VersionRefusal.DIGEST, VersionRefusal.CONTENT):
+        if reason in _BAD:
             self.last_refusal = refused
         return refused
+
+    def _keep(self, delta: Delta) -> None:
+        self.delta_by_base[delta.base] = delta
+        while len(self.delta_by_base) > KEPT_DELTAS:
+            self.delta_by_base.popitem(last=False)
+
+
+def join(first: Delta, second: Delta) -> Delta:
+    """Return one delta with the effect of ``first`` and then ``second``."""
+    changed = {
+        key: fields
+        for key, fields in first.changed_by_key.items()
+        if key not in second.removed
+    }
+    changed.update(second.changed_by_key)
+    removed = {*first.removed, *second.removed} - changed.keys()
+    return Delta(
+        version=second.version,
+        base=first.base,
+        digest=second.digest,
+        changed_by_key=changed,
+        removed=tuple(sorted(removed)),
+    )
