--- a/src/cassiasail/_internal/coordination/calls.py
+++ b/src/cassiasail/_internal/coordination/calls.py
@@ -1,16 +1,16 @@
 """The decisions on one call, on the daemon that the caller contacted."""
 
-import hashlib
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from ..clock import Clock
 from ..ids import CustomerId, ServiceName
-from ..protocol.answers import Answer, Body
+from ..protocol.answers import Body
 from ..protocol.frames import CallHead, Headers
 from ..state.lists import Allowance, KeyPolicy, Route
 from ..state.refusals import Executed, Refusal, RefusalReason
 from ..state.routes import RouteTable
+from .quarantine import fingerprint_of
+from .strikes import Fingerprint
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,15 +40,13 @@
     """A call that the lists allow, with the route and allowance that apply."""
 
     call: Call
+    customer: CustomerId
     route: Route
     allowance: Allowance
-    fingerprint: bytes
+    fingerprint: Fingerprint
     deadline: float
 
 
-Dispatch = Callable[[str, CallHead, Body], Awaitable[Answer | Refusal]]
-
-
 def refuse(
     reason: RefusalReason, detail: str = "", *, retry_after: float | None = None
 ) -> Refusal:
@@ -95,21 +93,22 @@
     wanted = route.deadline if call.remaining is None else call.remaining
     return RoutedCall(
         call=call,
+        customer=customer.id,
         route=route,
         allowance=allowance,
-        fingerprint=fingerprint_of(call),
+        fingerprint=call_fingerprint(call),
         deadline=clock.now() + min(wanted, max_deadline),
     )
 
 
-def fingerprint_of(call: Call) -> bytes:
+def call_fingerprint(call: Call) -> Fingerprint:
     """Return the fingerprint by which a repeated request is recognised."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (call.customer, call.service, call.method, call.path):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(call.body_digest or b"")
-    return digest.digest()
+    return fingerprint_of(
+        CustomerId(call.customer),
+        call.method,
+        f"/{call.service}{call.path}",
+        call.body_digest or b"",
+    )
 
 
 def head_for(routed: RoutedCall, *, target: str, now: float, attempt: int) -> CallHead:
--- /dev/null
+++ b/src/cassiasail/_internal/daemon.py
@@ -0,0 +1,53 @@
+"""The program ``cassiasaild``."""
+
+import argparse
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from absl import logging
+
+from ..exceptions import SettingsError
+from .runtime import Runtime
+from .settings import Settings, load
+
+EXIT_SETTINGS = 1
+
+
+async def run(settings: Settings) -> None:
+    """Run one daemon until SIGTERM or SIGINT, then drain."""
+    runtime = Runtime(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # Setting an event twice changes nothing, nor does a second signal.
+        loop.add_signal_handler(number, runtime.stopping.set)
+    await runtime.start()
+    await runtime.stopping.wait()
+    await runtime.drain()
+    await runtime.stop()
+
+
+def main() -> None:
+    """Parse the arguments and run."""
+    parser = argparse.ArgumentParser(prog="cassiasaild", description=__doc__)
+    parser.add_argument("--config", type=Path, required=True, help="INI settings")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    options = parser.parse_args()
+    try:
+        settings = load(options.config)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(fault, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    if options.check:
+        print("the settings are valid")
+        return
+    logging.set_verbosity(logging.INFO)
+    asyncio.run(run(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cassiasail/_internal/status.py
@@ -0,0 +1,151 @@
+"""JSON pages of the admin address."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from .clock import Clock
+from .coordination.control import ControlPlane
+from .ids import CustomerId, ServiceName
+from .state.lists import Allowance
+from .state.members import MemberTable
+from .state.versions import RefusedVersion, VersionedLists
+from .transport.hosted_calls import HostedCalls
+from .transport.store_http import HttpStore
+
+# Without an answer for this long the store counts as unreachable; pollers ask twice
+# a second, other daemons hardly ever, so their view is shown with its age.
+STORE_FRESH = 5.0  # seconds
+
+
+def status_page(
+    *,
+    clock: Clock,
+    control: ControlPlane,
+    versions: VersionedLists,
+    members: MemberTable,
+    hosted: HostedCalls,
+    store: HttpStore,
+    in_flight: int,
+) -> dict[str, Any]:
+    """Return what ``GET /status`` shows; ages are in seconds."""
+    fleet = control.fleet_status()
+    living = list(members.living())
+    unreachable = [each for each in living if each.data_centre in members.unreachable]
+    refused = versions.last_refusal
+    return {
+        "daemon": members.own.id,
+        "region": members.own.region,
+        "data_centre": members.own.data_centre,
+        "version": versions.version,
+        "digest": f"{versions.lists.digest:032x}",
+        "state": members.own.state.value,
+        "store": _store_status(clock, store),
+        "refused": [] if refused is None else [_refused(refused)],
+        "members": {
+            "alive": len(living) - len(unreachable),
+            "unreachable": len(unreachable),
+            "dead": sum(1 for _ in members.dead()),
+        },
+        "scope": fleet.scope,
+        "parent": fleet.parent,
+        "children": fleet.children,
+        "fleet": [
+            {
+                "data_centre": centre,
+                "members": fleet.members_by_data_centre.get(centre, 0),
+                "version_counts": {
+                    str(version): count for version, count in sorted(counts.items())
+                },
+                "stragglers": _stragglers(fleet.stragglers, members, centre),
+            }
+            for centre, counts in sorted(fleet.count_by_version.items())
+        ],
+        "targets": list(hosted.status()),
+        "calls_in_flight": in_flight,
+    }
+
+
+def explain_page(
+    customer_id: str,
+    service: str,
+    *,
+    versions: VersionedLists,
+    members: MemberTable,
+) -> dict[str, Any] | None:
+    """Return what ``GET /explain`` shows, None for an unknown customer."""
+    table = versions.table
+    customer = table.customer_by_id.get(CustomerId(customer_id))
+    if customer is None:
+        return None
+    allowances = (
+        allowance
+        for (plan, name, _), allowance in table.allowance_by_route.items()
+        if plan == customer.plan and name == service
+    )
+    return {
+        "customer": customer.id,
+        "plan": customer.plan,
+        "version": table.version,
+        "routes": [_route_row(versions, allowance) for allowance in allowances],
+        "targets": list(_target_rows(members, ServiceName(service))),
+    }
+
+
+def _store_status(clock: Clock, store: HttpStore) -> dict[str, Any]:
+    age = None if store.answered_at is None else clock.now() - store.answered_at
+    failing = store.last_failure is not None
+    return {
+        "reachable": None if age is None and not failing else not failing,
+        "last_answer_seconds": None if age is None else round(age, 3),
+        "failure": store.last_failure.reason.value if store.last_failure else None,
+    }
+
+
+def _refused(refused: RefusedVersion) -> dict[str, Any]:
+    return {
+        "version": refused.version,
+        "reason": refused.reason.value,
+        "detail": refused.detail,
+    }
+
+
+def _stragglers(stragglers: Any, members: MemberTable, centre: str) -> list[Any]:
+    def is_here(daemon: Any) -> bool:
+        record = members.get(daemon)
+        return record is not None and record.data_centre == centre
+
+    return [
+        {"daemon": each.daemon, "version": each.version, "reason": each.reason}
+        for each in stragglers
+        if is_here(each.daemon)
+    ]
+
+
+def _route_row(versions: VersionedLists, allowance: Allowance) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "path": allowance.path,
+        "rate": allowance.rate,
+        "burst": allowance.burst,
+        "in_flight": allowance.in_flight,
+        "max_body": allowance.max_body,
+    }
+    for route in versions.table.routes_by_service.get(allowance.service, ()):
+        if route.path == allowance.path:
+            row["class"] = route.call_class.value
+            row["deadline"] = route.deadline
+            row["idempotent"] = route.idempotency.value
+            row["idempotency_key"] = route.key_policy.value
+    return row
+
+
+def _target_rows(
+    members: MemberTable, service: ServiceName
+) -> Iterator[dict[str, Any]]:
+    for record, endpoint in members.endpoints_of(service):
+        yield {
+            "target": endpoint.target_id,
+            "daemon": record.id,
+            "data_centre": record.data_centre,
+            "state": endpoint.state.value,
+            "slots": endpoint.slots,
+        }
--- a/src/cassiasail/_internal/transport/dispatch.py
+++ b/src/cassiasail/_internal/transport/dispatch.py
@@ -10,6 +10,10 @@
 from .peers import CallPool
 from .streams import CallResult
 
+# The host daemon enforces the deadline and knows what became of the call; the entry
+# daemon waits this much longer for its word, in seconds.
+HOST_GRACE = 0.25
+
 
 class Dispatcher:
     """Runs local calls directly and sends others over the call connections."""
@@ -22,7 +26,7 @@
     async def send(self, host: DaemonId, head: CallHead, body: Body) -> CallResult:
         """Send one attempt to ``host``; its id is its peer address."""
         try:
-            async with asyncio.timeout(head.remaining):
+            async with asyncio.timeout(head.remaining + HOST_GRACE):
                 return await self._send(host, head, body)
         except TimeoutError:
             # The call may have been dispatched before the time was up.
