--- a/src/cassiasail/_internal/transport/target_http.py
+++ b/src/cassiasail/_internal/transport/target_http.py
@@ -16,6 +16,7 @@
 
 # Time to open a connection to a target on the same VM, in seconds.
 CONNECT_TIMEOUT = 1.0
+KEEP_ALIVE = 30.0  # seconds
 UNSENT_OUTCOMES = frozenset((CallOutcome.CONNECT_REFUSED, CallOutcome.CONNECT_FAILED))
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -113,7 +114,10 @@
 
 def _session(*, force_close: bool) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
-        limit=0, force_close=force_close, keepalive_timeout=30, use_dns_cache=False
+        limit=0,
+        force_close=force_close,
+        keepalive_timeout=None if force_close else KEEP_ALIVE,
+        use_dns_cache=False,
     )
     return aiohttp.ClientSession(
         connector=connector,
