--- a/devtools/quickstart.py
+++ b/devtools/quickstart.py
@@ -65,7 +65,7 @@
 
 
 async def apply_lists(processes: LayoutProcesses, changes: Sequence[str] = ()) -> None:
-    """Commit the layout's lists; each change is ``OLD=>NEW`` in ``plans.ini``."""
+    """Commit the layout's lists; each change is ``OLD=>NEW`` in their text."""
     layout = processes.layout
     directory = processes.directory / "lists"
     directory.mkdir(exist_ok=True)
--- a/src/cassiasail/_internal/runtime.py
+++ b/src/cassiasail/_internal/runtime.py
@@ -73,12 +73,11 @@
         self.me = DaemonId(settings.peer_address)
         incarnation = int(self.clock.wall() * 1000)
         self.members = MemberTable(own=_own_record(settings, self.me, incarnation))
-        self.store = HttpStore(
-            address=settings.store_address,
-            clock=self.clock,
-            timeout=settings.store_timeout,
-            rate=settings.store_rate,
+        self.region_link = RegionLink(
+            delay=settings.emulation_region_delay_ms / 1000,
+            rate=settings.emulation_region_mbit * 1e6 / 8,
         )
+        self.store = self._build_store(settings.store_rate)
         self._build_transport()
         self._build_control()
         self._build_quotas(incarnation)
@@ -134,15 +133,21 @@
         await self.store.close()
         logging.info("daemon %s stopped", self.me)
 
+    def _build_store(self, rate: float) -> HttpStore:
+        settings = self.settings
+        remote = settings.region != settings.store_region
+        return HttpStore(
+            address=settings.store_address,
+            clock=self.clock,
+            timeout=settings.store_timeout,
+            rate=rate,
+            is_cut=lambda: remote and self.region_link.is_cut,
+        )
+
     def _build_transport(self) -> None:
         settings = self.settings
         self.local = LocalPeer(
-            daemon=self.me,
-            region=settings.region,
-            link=RegionLink(
-                delay=settings.emulation_region_delay_ms / 1000,
-                rate=settings.emulation_region_mbit * 1e6 / 8,
-            ),
+            daemon=self.me, region=settings.region, link=self.region_link
         )
         self.links = ControlLinks(
             local=self.local,
@@ -258,6 +263,7 @@
             offer=self._offer,
             is_ready=lambda: self.versions.version > 0 and not self.entry.closing,
             json_pages={"/versions": self._applied_versions},
+            cut_link=self.region_link.set_cut if self.region_link.active else None,
         )
 
     def _every(self, interval: float, work: Callable[[], Awaitable[None]]) -> None:
--- a/src/cassiasail/_internal/transport/admin_http.py
+++ b/src/cassiasail/_internal/transport/admin_http.py
@@ -18,7 +18,10 @@
 
 
 class AdminServer:
-    """Listener on the admin address."""
+    """Listener on the admin address.
+
+    ``cut_link`` cuts and heals the emulated region link; None outside test layouts.
+    """
 
     def __init__(
         self,
@@ -28,12 +31,14 @@
         offer: OfferSink,
         is_ready: Callable[[], bool],
         json_pages: Mapping[str, StatusSource],
+        cut_link: Callable[[bool], None] | None,
     ) -> None:
         self._status = status
         self._explain = explain
         self._offer = offer
         self._is_ready = is_ready
         self._json_pages = json_pages
+        self._cut_link = cut_link
         self._runner: web.AppRunner | None = None
 
     async def start(self, address: str) -> None:
@@ -45,6 +50,8 @@
         app.router.add_get("/status", self._get_status)
         app.router.add_get("/explain", self._get_explain)
         app.router.add_post("/config/offer", self._post_offer)
+        if self._cut_link is not None:
+            app.router.add_post("/emulation", self._post_emulation)
         for path, source in self._json_pages.items():
             app.router.add_get(path, _json_page(source))
         self._runner = web.AppRunner(app, access_log=None)
@@ -90,6 +97,11 @@
             raise web.HTTPBadRequest(text=f"{error}\n") from None
         return web.Response(status=202)
 
+    async def _post_emulation(self, request: web.Request) -> web.Response:
+        assert self._cut_link is not None
+        self._cut_link((await request.json()) == {"cut": True})
+        return web.Response(status=204)
+
 
 def _json_page(source: StatusSource) -> Callable[[web.Request], Any]:
     async def page(request: web.Request) -> web.Response:
--- a/src/cassiasail/_internal/transport/peers.py
+++ b/src/cassiasail/_internal/transport/peers.py
@@ -302,6 +302,14 @@
             return
         await handler(connection)
 
+    def refuse_if_cut(
+        connection: ServerConnection, request: Request
+    ) -> Response | None:
+        other = request.headers.get(REGION_HEADER, "") != local.region
+        if local.link.is_cut and other:
+            return connection.respond(503, "the emulated link is cut\n")
+        return None
+
     def add_region(
         connection: ServerConnection, request: Request, response: Response
     ) -> None:
@@ -318,6 +326,7 @@
         ping_interval=None,
         close_timeout=0.5,
         server_header=None,
+        process_request=refuse_if_cut,
         process_response=add_region,
     )
 
--- a/src/cassiasail/_internal/transport/shaping.py
+++ b/src/cassiasail/_internal/transport/shaping.py
@@ -1,7 +1,9 @@
 """Emulated links between regions, for test layouts on one machine.
 
 Messages to another region leave after a fixed delay and at a bounded rate; their
-order is kept. With a delay and a rate of zero nothing is added.
+order is kept. With a delay and a rate of zero nothing is added. While the link is cut,
+messages wait, as they would in the buffers of a connection without a route, and new
+connections to other regions fail.
 """
 
 import asyncio
@@ -19,12 +21,30 @@
         self.delay = delay
         self.rate = rate
         self._free_at = 0.0
+        self._usable = asyncio.Event()
+        self._usable.set()
 
     @property
     def active(self) -> bool:
         """Whether the link changes anything."""
         return self.delay > 0 or self.rate > 0
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether other regions can't be reached."""
+        return not self._usable.is_set()
+
+    def set_cut(self, cut: bool) -> None:
+        """Cut the link or heal it."""
+        if cut:
+            self._usable.clear()
+        else:
+            self._usable.set()
+
+    async def wait_usable(self) -> None:
+        """Wait until the link is not cut."""
+        await self._usable.wait()
+
     def departure(self, size: int) -> float:
         """Reserve the link for ``size`` bytes; return the arrival, in loop time."""
         now = asyncio.get_running_loop().time()
@@ -62,4 +82,5 @@
             wait = arrival - loop.time()
             if wait > 0:
                 await asyncio.sleep(wait)
+            await self._link.wait_usable()
             self._open = await self._send(data)
--- a/src/cassiasail/_internal/transport/store_http.py
+++ b/src/cassiasail/_internal/transport/store_http.py
@@ -4,7 +4,7 @@
 exceeds its share of the platform's capacity.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -30,14 +30,22 @@
     """Implements ``coordination.store.Store`` over HTTP with CBOR bodies.
 
     ``timeout`` is in seconds per request, ``rate`` in requests per second with a
-    burst of twice that.
+    burst of twice that. ``is_cut`` tells whether an emulated link to the store's
+    region is cut.
     """
 
     def __init__(
-        self, *, address: str, clock: Clock, timeout: float = 2.0, rate: float = 20.0
+        self,
+        *,
+        address: str,
+        clock: Clock,
+        timeout: float = 2.0,
+        rate: float = 20.0,
+        is_cut: Callable[[], bool] = lambda: False,
     ) -> None:
         self._base = f"http://{address}"
         self._clock = clock
+        self._is_cut = is_cut
         self._timeout = aiohttp.ClientTimeout(total=timeout)
         self._rate = rate
         self._tokens = 2 * rate
@@ -112,6 +120,8 @@
     ) -> bytes | None | StoreFailure:
         if not self._take_token():
             return self._fail(operation, StoreFailureReason.BUDGET, sent=False)
+        if self._is_cut():
+            return self._fail(operation, StoreFailureReason.UNREACHABLE, sent=False)
         try:
             return await self._exchange(operation, method, path, body)
         except aiohttp.ClientConnectorError:
