--- a/src/cassiasail/_internal/coordination/quarantine.py
+++ b/src/cassiasail/_internal/coordination/quarantine.py
@@ -28,16 +28,17 @@
 from ..state.refusals import Executed, Refusal, RefusalReason
 from .strikes import (
     MOMENT_SECONDS,
+    QUARANTINE_SECONDS,
     Death,
     Fingerprint,
     Moment,
-    accuse,
     moments_of,
+    quarantine_seconds,
+    returned_and_killed,
     suspicion_seconds,
 )
 
 FINGERPRINT_BYTES = 16
-QUARANTINE_SECONDS = 600.0
 # One death names at most this many calls; a target has up to 18 slots.
 MAX_FINGERPRINTS_PER_DEATH = 128
 MAX_DEATHS = 512
@@ -158,12 +159,13 @@
         """Lift the strikes of a request that a target has answered.
 
         Strikes of deaths with a single call in flight stay: nothing else explains
-        them. So does a quarantine.
+        them. So does a quarantine, except one concluded from a single moment while
+        that moment lasts: a popular request is then still answered by other targets.
         """
         deaths = self._deaths_by_fingerprint.get(fingerprint)
         if not deaths or fingerprint in self._until_by_fingerprint:
             return
-        if self._judge(fingerprint, self._clock.now()) is not None:
+        if returned_and_killed(self._moments(fingerprint, deaths)):
             return
         shared = tuple(
             (death.target, death.started)
@@ -245,11 +247,21 @@
                 continue
             new = True
             self._lifted[key] = None
-            self._remove_strike(notice.fingerprint, (target, started))
+            self._lift_strike(notice.fingerprint, (target, started))
         while len(self._lifted) > MAX_LIFTED:
             self._lifted.popitem(last=False)
         return new
 
+    def _lift_strike(
+        self, fingerprint: Fingerprint, key: tuple[TargetId, float]
+    ) -> None:
+        deaths = self._deaths_by_fingerprint.get(fingerprint)
+        # Another daemon saw the answer while the moment lasted here too, or before
+        # it knew of a later moment. Only the first case undoes a verdict.
+        if deaths and len(self._moments(fingerprint, deaths)) == 1:
+            self._until_by_fingerprint.pop(fingerprint, None)
+        self._remove_strike(fingerprint, key)
+
     def _remove_strike(
         self, fingerprint: Fingerprint, key: tuple[TargetId, float]
     ) -> None:
@@ -270,10 +282,11 @@
         if not deaths or len(deaths) < 2:
             return None
         moments = self._moments(fingerprint, deaths)
-        if not accuse(moments):
+        seconds = quarantine_seconds(moments)
+        if seconds is None:
             return None
         last = deaths[-1].time
-        until = last + QUARANTINE_SECONDS
+        until = last + seconds
         if now - last >= MOMENT_SECONDS and now < until:
             self._commit(fingerprint, until)
         return until
--- a/src/cassiasail/_internal/coordination/strikes.py
+++ b/src/cassiasail/_internal/coordination/strikes.py
@@ -10,6 +10,10 @@
 Fingerprint = bytes
 
 SUSPECT_SECONDS = 2.0
+QUARANTINE_SECONDS = 600.0
+# A mass moment that one request explains may still be a rack on which that request
+# was popular. After this time it is tried again; one more death settles it.
+MASS_QUARANTINE_SECONDS = 30.0
 # Deaths of one cause reach a daemon within the flood time; the caller of a poisonous
 # request resends after a second or more.
 MOMENT_SECONDS = 0.8
@@ -99,16 +103,25 @@
     return groups
 
 
-def accuse(moments: list[Moment]) -> bool:
-    """Return whether the moments show that the request kills targets."""
-    if any(moment.explained and len(moment.targets) > 1 for moment in moments):
-        return True
+def returned_and_killed(moments: list[Moment]) -> bool:
+    """Return whether two separate moments on different targets accuse the request."""
     return any(
         len(earlier.targets | later.targets) > 1 and _are_separate(earlier, later)
         for earlier, later in combinations(moments, 2)
     )
 
 
+def quarantine_seconds(moments: list[Moment]) -> float | None:
+    """Return for how long the moments quarantine the request, None if they do not."""
+    if returned_and_killed(moments):
+        return QUARANTINE_SECONDS
+    for moment in moments:
+        if moment.explained and len(moment.targets) > 1:
+            mass = len(moment.targets) >= MASS_TARGETS
+            return MASS_QUARANTINE_SECONDS if mass else QUARANTINE_SECONDS
+    return None
+
+
 def _are_separate(earlier: Moment, later: Moment) -> bool:
     """Return whether two moments are independent evidence."""
     if not earlier.weak and not later.weak:
