Stop a timer of a target host from spinning at one instant

The timer and the silence check rounded the same time differently, so the timer was set again for an instant that the check did not accept yet. Both now compare the same sum, timers have a minimum delay, and the simulation raises when timers are set for ever.

--- a/devtools/simulation.py
+++ b/devtools/simulation.py
@@ -4,6 +4,9 @@
 import itertools
 from collections.abc import Callable
 
+# Timers at one instant from which on a run is taken to set them for ever.
+MAX_TIMERS_PER_INSTANT = 100_000
+
 
 class Timer:
     """A callback that is due at ``time`` unless cancelled."""
@@ -43,8 +46,12 @@
     def run(self, seconds: float) -> None:
         """Move time forward and run what is due."""
         end = self._now + seconds
+        at_instant = 0
         while self._timers and self._timers[0][0] <= end:
             time, _, timer = heapq.heappop(self._timers)
+            at_instant = at_instant + 1 if time <= self._now else 0
+            if at_instant > MAX_TIMERS_PER_INSTANT:
+                raise RuntimeError(f"timers are set for ever at {self._now}")
             self._now = max(self._now, time)
             if timer.callback is not None:
                 timer.callback()
--- a/src/cassiasail/_internal/coordination/hosting.py
+++ b/src/cassiasail/_internal/coordination/hosting.py
@@ -41,6 +41,9 @@
 from .target_process import TargetProcess
 
 SILENCE_SECONDS = 3.0
+# Rounding may let a timer fire just before it is due; without a minimum it would be
+# set again for the same instant over and over.
+MIN_TIMER_DELAY = 0.0005  # seconds
 # Advice to a suspect that meets another one on this target.
 PROBATION_RETRY = 0.1  # seconds
 
@@ -180,7 +183,7 @@
         now = self._clock.now()
         if (
             self.state is not TargetState.GONE
-            and now - self._last_announced >= SILENCE_SECONDS
+            and now >= self._last_announced + SILENCE_SECONDS
         ):
             self._lose("it was silent")
         self._refresh_slots()
@@ -364,7 +367,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer_due = due
-        delay = max(0.0, due - self._clock.now())
+        delay = max(MIN_TIMER_DELAY, due - self._clock.now())
         self._timer = self._call_later(delay, self._on_timer)
 
     def _on_timer(self) -> None:
