Test allowances on a simulated fleet against one counter

Daemons, store and network run on virtual time with loss, duplication, delay, pauses, restarts, take-overs, cuts and store faults.

--- /dev/null
+++ b/tests/unit/test_quota_fleet.py
@@ -0,0 +1,98 @@
+"""No fault makes a fleet of daemons exceed an allowance.
+
+Guards against use beyond rate, burst or in_flight under message loss, duplication,
+delay, pauses, restarts, take-over, region cuts, store outages and lost store
+answers, by comparison with one counter for the whole fleet.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from cassiasail._internal import invariants
+from devtools.fuzz_quotas import fuzz
+from devtools.quota_operations import ALLOWANCES, KEYS, OUTAGES, PAUSES, Operations
+
+DAEMONS = st.integers(0, 11)
+KEY = st.integers(0, len(KEYS) - 1)
+PROBABILITY = st.sampled_from((0.0, 0.1, 0.5))
+
+
+class QuotaFleetMachine(RuleBasedStateMachine):
+    """Drives twelve daemons in four data centres; every step checks the oracle."""
+
+    operations: Operations
+
+    @initialize(seed=st.integers(0, 1 << 16))
+    def start(self, seed: int) -> None:
+        invariants.set_strict(True)
+        self.operations = Operations(seed)
+        # The shards are claimed meanwhile.
+        self.operations.run(3.0)
+
+    @rule(daemon=DAEMONS, key=KEY, count=st.sampled_from((1, 5, 40, 120)))
+    def burst(self, daemon: int, key: int, count: int) -> None:
+        self.operations.burst(daemon, key, count)
+
+    @rule(daemon=DAEMONS, key=KEY, rate=st.sampled_from((2, 20, 80)))
+    def load(self, daemon: int, key: int, rate: int) -> None:
+        self.operations.load(daemon, key, rate)
+
+    @rule(key=KEY, allowance=st.integers(0, len(ALLOWANCES) - 1))
+    def change(self, key: int, allowance: int) -> None:
+        self.operations.change(key, allowance)
+
+    @rule(loss=PROBABILITY, double=PROBABILITY, delay=st.sampled_from((0, 0.02, 0.5)))
+    def degrade_network(self, loss: float, double: float, delay: float) -> None:
+        self.operations.degrade_network(loss, double, delay)
+
+    @rule(region=st.integers(0, 1), seconds=st.sampled_from(OUTAGES))
+    def cut(self, region: int, seconds: float) -> None:
+        self.operations.cut(region, seconds)
+
+    @rule(daemon=DAEMONS, seconds=st.sampled_from(PAUSES))
+    def pause(self, daemon: int, seconds: float) -> None:
+        self.operations.pause(daemon, seconds)
+
+    @rule(daemon=DAEMONS, restart_after=st.sampled_from((0.01, 2.0, 20.0)))
+    def crash(self, daemon: int, restart_after: float) -> None:
+        self.operations.crash(daemon, restart_after)
+
+    @rule(centre=st.integers(0, 3), restart_after=st.sampled_from((0.01, 2.0)))
+    def crash_data_centre(self, centre: int, restart_after: float) -> None:
+        self.operations.crash_data_centre(centre, restart_after)
+
+    @rule(daemon=DAEMONS)
+    def shut_down(self, daemon: int) -> None:
+        self.operations.shut_down(daemon, 1.0)
+
+    @rule(seconds=st.sampled_from(OUTAGES))
+    def break_store(self, seconds: float) -> None:
+        self.operations.break_store(seconds)
+
+    @rule(probability=PROBABILITY, late=PROBABILITY)
+    def lose_store_answers(self, probability: float, late: float) -> None:
+        self.operations.lose_store_answers(probability, late)
+
+    @rule()
+    def heal(self) -> None:
+        self.operations.heal()
+
+    @rule(seconds=st.sampled_from((0.01, 0.1, 0.5, 2.0)))
+    def run_for(self, seconds: float) -> None:
+        self.operations.run(seconds)
+
+    def teardown(self) -> None:
+        if hasattr(self, "operations"):
+            self.operations.close()
+
+
+TestQuotaFleet = QuotaFleetMachine.TestCase
+TestQuotaFleet.settings = settings(
+    max_examples=12, stateful_step_count=25, deadline=None
+)
+
+
+def test_seeded_run_keeps_every_allowance_and_recovers() -> None:
+    """Guards against over-use, and against a fleet that grants nothing after faults."""
+    assert fuzz(seed=11, steps=120) is None
