--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -11,6 +11,7 @@
 
 from .layouts import TARGET_PORT, Layout, Vm
 
+DAEMON_COMMAND = ("-m", "cassiasail._internal.daemon")
 STOP_TIMEOUT = 15.0  # seconds until a process that was asked to stop is killed
 
 
@@ -23,16 +24,19 @@
         layout: Layout,
         extra_settings: str = "",
         targets: bool = True,
-        daemon_command: tuple[str, ...] = ("-m", "cassiasail._internal.daemon"),
     ) -> None:
         self.layout = layout
         self.directory = Path(tempfile.mkdtemp(prefix="cassiasail-"))
         self._extra = extra_settings
         self._with_targets = targets
-        self._daemon_command = daemon_command
+        self._daemon_command: tuple[str, ...] = DAEMON_COMMAND
         self._process_by_name: dict[str, asyncio.subprocess.Process] = {}
         self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=5))
 
+    def set_daemon_command(self, command: tuple[str, ...]) -> None:
+        """Start daemons with these arguments of the interpreter."""
+        self._daemon_command = command
+
     async def start(self) -> None:
         """Start the platform, then all daemons and targets."""
         await self.start_platform()
--- a/src/cassiasail/_internal/runtime.py
+++ b/src/cassiasail/_internal/runtime.py
@@ -16,11 +16,12 @@
 from .coordination.links import ControlOptions
 from .coordination.owner_link import OwnerLink
 from .coordination.permits import EndpointChange, TargetState
-from .coordination.quarantine import QUARANTINE_SECONDS, Notice, Quarantine
+from .coordination.quarantine import Notice, Quarantine
 from .coordination.quota_exchange import QuotaExchange
 from .coordination.quota_service import QuotaService
 from .coordination.router import CallRouter, Choice
 from .coordination.shard_leases import ShardLeases
+from .coordination.strikes import QUARANTINE_SECONDS
 from .ids import DaemonId, DataCentre, Region, ServiceName, TargetId
 from .protocol import messages
 from .protocol.quotas import (
