Add at-most-once claims over the store

An order must run at most once although store answers get lost, writes land late and daemons pause or crash. A claim is one conditional write; after a lost answer the same write is sent again and acts as a fence. Rows are released by a tombstone instead of a delete, because a late write with the condition 'absent' could otherwise take effect after the release. The caller's attempt number in the row keeps an older sending from running after a later one was told 'no'. Sweeping uses an age row per claim, since the store has no scan from a position.

--- a/devtools/virtualtime.py
+++ b/devtools/virtualtime.py
@@ -88,8 +88,17 @@
         heapq.heappush(self._heap, (self._now + delay, self._order, task))
 
     def kill(self, task: Task) -> None:
-        """End a task as a crash does: none of its code runs any more."""
+        """End a task at its present await, as a crash does.
+
+        Only its ``finally`` blocks run; they must not await.
+        """
         task.done = True
+        task.coroutine.close()
+
+    def close(self) -> None:
+        """End all tasks that are still scheduled."""
+        for _, _, task in self._heap:
+            self.kill(task)
 
     def run_until(self, end: float) -> None:
         """Run everything that is due up to ``end``, then set the time to it."""
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -87,3 +87,9 @@
     registry=REGISTRY,
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
 )
+CLAIMS = Counter(
+    "cassiasail_claims",
+    "Claims of idempotency keys, by what became of them.",
+    ["outcome"],
+    registry=REGISTRY,
+)
--- /dev/null
+++ b/tests/unit/test_claims.py
@@ -0,0 +1,196 @@
+"""No key runs twice, no "no" is false, and a recorded answer is replayed whole."""
+
+import asyncio
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiasail._internal.coordination.claimed import Claimed, ClaimStatus
+from cassiasail._internal.coordination.claimrows import ClaimKey, RecordedAnswer
+from cassiasail._internal.coordination.claims import Claims, Replay
+from cassiasail._internal.coordination.claimsweep import SWEEP_BATCH, Swept
+from cassiasail._internal.coordination.store import StoredRow
+from cassiasail._internal.ids import CustomerId, DaemonId, ServiceName
+from cassiasail._internal.state.refusals import Executed, Refusal, RefusalReason
+from devtools.claims_world import BODIES, ClaimsWorld, run_claims
+from tests.lib.clocks import VirtualClock
+from tests.lib.fakestore import FakeStore
+
+KEYS = ["key0", "key1"]
+BODY = b"digest"
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Guards against double execution under any order of sendings and faults."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = ClaimsWorld(seed=1)
+
+    @rule(
+        daemon=st.integers(0, 2),
+        key=st.sampled_from(KEYS),
+        body=st.sampled_from(BODIES),
+        deadline=st.sampled_from([0.1, 3.0]),
+    )
+    def send(self, daemon: int, key: str, body: bytes, deadline: float) -> None:
+        self.world.send(daemon, key, body, deadline=deadline)
+
+    @rule(seconds=st.sampled_from([0.003, 0.02, 0.1, 1.0, 10.0]))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @rule(daemon=st.integers(0, 2))
+    def crash(self, daemon: int) -> None:
+        self.world.crash(daemon)
+
+    @rule(daemon=st.integers(0, 2), seconds=st.sampled_from([0.05, 0.5, 5.0]))
+    def hold(self, daemon: int, seconds: float) -> None:
+        self.world.daemons[daemon].hold(seconds)
+
+    @rule(down=st.booleans())
+    def switch_store(self, down: bool) -> None:
+        self.world.store.down = down
+
+    @rule(count=st.integers(1, 4))
+    def lose_answers(self, count: int) -> None:
+        self.world.store.lose_answers = count
+
+    @rule(count=st.integers(1, 4), delay=st.sampled_from([0.2, 1.0, 20.0]))
+    def delay_effects(self, count: int, delay: float) -> None:
+        self.world.store.delay_effects = count
+        self.world.store.effect_delay = delay
+
+    @rule()
+    def expire(self) -> None:
+        self.world.expire()
+
+    @invariant()
+    def nothing_ran_twice(self) -> None:
+        assert all(count <= 1 for count in self.world.executions.values())
+
+    def teardown(self) -> None:
+        self.world.check_settled(KEYS)
+        self.world.loop.close()
+
+
+ClaimsMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestClaims = ClaimsMachine.TestCase
+
+
+def test_long_run_reaches_every_case() -> None:
+    """Guards against a world that no longer exercises what it should check."""
+    seen = run_claims(seed=3, steps=4000)
+    wanted = ("executed", "replay", "key_reused", "in_progress", "outcome_unknown")
+    assert all(seen[name] > 10 for name in (*wanted, "deadline_exceeded", "swept"))
+
+
+class OneDaemon:
+    """Claims of one daemon over a fake store, without faults at first."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.store = FakeStore(clock=self.clock, rng=Random(1))
+        self.claims = self.restarted()
+
+    def restarted(self) -> Claims:
+        async def lookup(daemon: DaemonId, token: str) -> ClaimStatus:
+            return ClaimStatus.UNKNOWN
+
+        return Claims(
+            daemon=DaemonId("a:1"), store=self.store, clock=self.clock, lookup=lookup
+        )
+
+    async def take(self, name: str = "k", attempt: int = 1) -> object:
+        key = ClaimKey(customer=CustomerId("a/b"), service=ServiceName("s"), key=name)
+        deadline = self.clock.now() + 5
+        return await self.claims.take(key, BODY, deadline=deadline, attempt=attempt)
+
+    async def answer(self, size: int) -> RecordedAnswer:
+        claimed = await self.take()
+        assert isinstance(claimed, Claimed)
+        answer = RecordedAnswer(status=201, headers=(("a", "b"),), body=b"x" * size)
+        claimed.dispatched()
+        assert await self.claims.record(claimed, answer) is (size <= 1 << 20)
+        return answer
+
+
+@pytest.mark.parametrize(
+    ("size", "requests"), [(0, 2), (64 << 10, 2), ((64 << 10) + 1, 3), (1 << 20, 3)]
+)
+def test_answer_is_replayed_after_a_restart(size: int, requests: int) -> None:
+    """Guards against a truncated replay and against more store requests per order."""
+
+    async def scenario() -> None:
+        daemon = OneDaemon()
+        answer = await daemon.answer(size)
+        assert daemon.store.count_by_operation.total() == requests
+        assert daemon.store.rows_written == 3
+        daemon.claims = daemon.restarted()
+        assert await daemon.take(attempt=2) == Replay(answer=answer)
+
+    asyncio.run(scenario())
+
+
+def test_too_large_and_damaged_answers_are_unknown_never_partial() -> None:
+    """Guards against a replay of a part of an answer, and against a second run."""
+
+    async def scenario(size: int, damage: bool) -> None:
+        daemon = OneDaemon()
+        await daemon.answer(size)
+        if damage:
+            objects = daemon.store.object_by_name
+            objects.update({name: data[:-1] for name, data in objects.items()})
+        refusal = await daemon.take(attempt=2)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is RefusalReason.OUTCOME_UNKNOWN
+        assert refusal.executed is Executed.UNKNOWN
+
+    asyncio.run(scenario((1 << 20) + 1, damage=False))
+    asyncio.run(scenario(1 << 20, damage=True))
+
+
+def test_malformed_row_never_runs() -> None:
+    """Guards against a damaged claim row being taken for a free key."""
+
+    async def scenario() -> None:
+        daemon = OneDaemon()
+        daemon.store.row_by_key["claim/a%2Fb/s/k"] = StoredRow(value={}, revision=7)
+        refusal = await daemon.take()
+        assert isinstance(refusal, Refusal)
+        assert refusal.executed is Executed.UNKNOWN
+
+    asyncio.run(scenario())
+
+
+def test_sweep_is_bounded_and_spares_young_claims() -> None:
+    """Guards against large deletes, and removal of a claim within its 24 hours."""
+
+    async def scenario() -> None:
+        daemon = OneDaemon()
+        for number in range(SWEEP_BATCH * 20):
+            await daemon.take(f"old{number}")
+        daemon.clock.advance(24.5 * 3600)
+        assert await sweep_all(daemon) == 0
+        daemon.clock.advance(3600)
+        assert isinstance(await daemon.take("young"), Claimed)
+        before = daemon.store.count_by_operation.total()
+        swept = await daemon.claims.sweep()
+        assert isinstance(swept, Swept)
+        assert 0 < swept.removed <= SWEEP_BATCH
+        assert daemon.store.count_by_operation.total() - before == 3
+        await sweep_all(daemon)
+        await sweep_all(daemon)
+        left = [key for key in daemon.store.row_by_key if key.startswith("claim/")]
+        assert left == ["claim/a%2Fb/s/young"]
+
+    async def sweep_all(daemon: OneDaemon) -> int:
+        passes = [await daemon.claims.sweep() for _ in range(16)]
+        return sum(item.removed for item in passes if isinstance(item, Swept))
+
+    asyncio.run(scenario())
