--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -107,3 +107,9 @@
     "Requests quarantined because targets died while running them.",
     registry=REGISTRY,
 )
+CLAIMS = Counter(
+    "cassiasail_claims",
+    "Claims of idempotency keys, by what became of them.",
+    ["outcome"],
+    registry=REGISTRY,
+)
