--- a/src/cassiasail/_internal/coordination/conflicts.py
+++ b/src/cassiasail/_internal/coordination/conflicts.py
@@ -20,14 +20,15 @@
 class EditConflict:
     """Others committed first; nothing of the edit was written.
 
-    ``theirs`` is what changed since the version the edit expected, ``mine`` what the
-    edit would change in that version; both are None when that version cannot be
-    read. ``head`` is None when the newest version cannot be read.
+    ``old`` are the lists of version ``base``, which the edit expected; ``theirs`` is
+    what changed since, ``mine`` what the edit would change. They are None when that
+    version cannot be read, ``head`` when the newest one cannot.
     """
 
     expected: int
     head: Head | None = None
     base: Version | None = None
+    old: Lists | None = None
     theirs: Delta | None = None
     mine: Delta | None = None
     entries: tuple[HistoryEntry, ...] = ()
@@ -63,6 +64,7 @@
         expected=expected,
         head=head,
         base=version,
+        old=old,
         theirs=theirs,
         mine=diff(old, mine),
         entries=entries,
--- a/src/cassiasail/exceptions.py
+++ b/src/cassiasail/exceptions.py
@@ -31,3 +31,11 @@
 
 class InvariantError(CassiasailError):
     """An internal invariant does not hold; raised only in strict mode."""
+
+
+class CommandError(CassiasailError):
+    """A command of an operator cannot be done; ``exit_code`` is its exit status."""
+
+    def __init__(self, message: str, *, exit_code: int) -> None:
+        super().__init__(message)
+        self.exit_code = exit_code
