--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -87,3 +87,23 @@
     registry=REGISTRY,
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
 )
+QUOTA_ASKS = Counter(
+    "cassiasail_quota_asks",
+    "Asks for allowance tokens, by role of the sender and outcome.",
+    ["role", "outcome"],
+    registry=REGISTRY,
+)
+QUOTA_SHARDS = Gauge(
+    "cassiasail_quota_shards", "Quota shards owned by this daemon.", registry=REGISTRY
+)
+TARGET_DEATHS = Counter(
+    "cassiasail_target_deaths",
+    "Deaths of target processes with calls in flight, by where they were seen.",
+    ["seen"],
+    registry=REGISTRY,
+)
+FINGERPRINTS_QUARANTINED = Counter(
+    "cassiasail_fingerprints_quarantined",
+    "Requests quarantined because targets died while running them.",
+    registry=REGISTRY,
+)
