--- a/src/cassiasail/_internal/coordination/control.py
+++ b/src/cassiasail/_internal/coordination/control.py
@@ -312,6 +312,8 @@
                 # A half-open connection that the child has already left.
                 self._links.close(other)
         link.role = LinkRole.CHILD
+        # A child that has lost its own children reports nothing when it returns.
+        link.report, link.attached = None, frozenset()
         link.confirmed = min(link.confirmed, link.version)
         self._doubt_head(link)
 
@@ -367,11 +369,25 @@
             self._suspicion.audit()
         else:
             self._suspicion.stop_audit()
+        self._shed_child()
         self._notices.expire()
         self._dialer.forget_old()
         limit = 2 * self.options.fan_out
         invariants.check("fan_out", self.children <= limit, str(self.children))
 
+    def _shed_child(self) -> None:
+        """Send one leaf elsewhere if there are too many.
+
+        A relay that was accepted beyond the fan-out may have become a leaf since.
+        """
+        children = list(self._links.children())
+        if self._attachment.is_head or len(children) <= self.options.fan_out:
+            return
+        link = max(children, key=lambda child: child.opened_at)
+        link.role = LinkRole.PEER
+        link.opened_at = self._clock.now()
+        self._links.send(link, Busy(_FULL_FOR, True))
+
     def _compare(self, now: float) -> None:
         """Compare version and members with one random member."""
         interval = self.options.anti_entropy_interval
--- a/src/cassiasail/_internal/coordination/distribution.py
+++ b/src/cassiasail/_internal/coordination/distribution.py
@@ -53,7 +53,9 @@
         self._send_missing(link)
 
     def attached(self, link: PeerLink) -> None:
-        """Tell a new parent of a refusal that still matters."""
+        """Tell a new parent the version in force and a refusal that still matters."""
+        # What came before the attachment was not confirmed on this link.
+        self._links.send(link, Have(self.lists.version))
         if self._reported is not None and self.lists.last_refusal is not None:
             self._links.send(link, self._reported)
 
--- a/src/cassiasail/_internal/coordination/suspicion.py
+++ b/src/cassiasail/_internal/coordination/suspicion.py
@@ -113,16 +113,17 @@
             if link.role is LinkRole.CHILD:
                 attached |= link.attached
         now = self._links.clock.now()
-        missing = {
+        missing = [
             record.id
             for record in table.living(table.own.data_centre)
             if record.id not in attached
-        }
+        ]
         self._missing_since = {
             daemon: self._missing_since.get(daemon, now) for daemon in missing
         }
-        # Reparenting and the report about it take about two seconds.
-        grace = self._links.options.dead_after + self._links.options.status_interval
+        # Reparenting and the report about it take less; a false alarm costs one
+        # probe.
+        grace = 2 * self._links.options.status_interval
         for daemon, since in list(self._missing_since.items()):
             if now - since >= grace:
                 self._missing_since[daemon] = now
--- a/src/cassiasail/_internal/state/members.py
+++ b/src/cassiasail/_internal/state/members.py
@@ -101,8 +101,9 @@
         self.unreachable: frozenset[DataCentre] = frozenset()
         self._record_by_id: dict[DaemonId, MemberRecord] = {}
         self._died_at_by_id: dict[DaemonId, float] = {}
-        self._ids_by_data_centre: dict[DataCentre, set[DaemonId]] = {}
-        self._hosts_by_service: dict[ServiceName, set[DaemonId]] = {}
+        # Dicts as ordered sets: decisions must not depend on the hash seed.
+        self._ids_by_data_centre: dict[DataCentre, dict[DaemonId, None]] = {}
+        self._hosts_by_service: dict[ServiceName, dict[DaemonId, None]] = {}
         self._buckets_by_data_centre: dict[DataCentre, list[int]] = {}
         self._store(own, now=0.0)
 
@@ -268,20 +269,20 @@
 
     def _index(self, record: MemberRecord) -> None:
         centre = record.data_centre
-        self._ids_by_data_centre.setdefault(centre, set()).add(record.id)
+        self._ids_by_data_centre.setdefault(centre, {})[record.id] = None
         buckets = self._buckets_by_data_centre.setdefault(centre, [0] * BUCKETS)
         bucket = bucket_of(record.id)
         buckets[bucket] = (buckets[bucket] + record_hash(record)) & _DIGEST_MASK
         for endpoint in record.endpoints:
-            self._hosts_by_service.setdefault(endpoint.service, set()).add(record.id)
+            self._hosts_by_service.setdefault(endpoint.service, {})[record.id] = None
 
     def _unindex(self, record: MemberRecord) -> None:
-        self._ids_by_data_centre[record.data_centre].discard(record.id)
+        self._ids_by_data_centre[record.data_centre].pop(record.id, None)
         buckets = self._buckets_by_data_centre[record.data_centre]
         bucket = bucket_of(record.id)
         buckets[bucket] = (buckets[bucket] - record_hash(record)) & _DIGEST_MASK
         for endpoint in record.endpoints:
-            self._hosts_by_service[endpoint.service].discard(record.id)
+            self._hosts_by_service[endpoint.service].pop(record.id, None)
 
     def _notify(self, old: MemberRecord | None, new: MemberRecord | None) -> None:
         metrics.MEMBERS.labels("living").set(len(self))
