--- a/devtools/quickstart.py
+++ b/devtools/quickstart.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import json
 import random
 import signal
 import sys
@@ -52,7 +53,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "cassiasail._internal.cli.main",
+        "cassiasail",
         *arguments,
         f"--store={layout.store}",
         f"--daemons={','.join(vm.admin for vm in layout.vms[:3])}",
@@ -75,11 +76,17 @@
             old, _, new = change.partition("=>")
             text = text.replace(old, new)
         (directory / name).write_text(text)
-    files = (str(directory / "plans.ini"), str(directory / "customers.ini"))
-    code, output = await run_cli(layout, "apply", *files)
-    print(output.strip())
+    shown = json.loads(await run_cli_checked(layout, "show", "--json"))
+    expected = f"--expect={shown['revision']}"
+    print((await run_cli_checked(layout, "apply", str(directory), expected)).strip())
+
+
+async def run_cli_checked(layout: Layout, *arguments: str) -> str:
+    """Run the command line and return its output; raise if it fails."""
+    code, output = await run_cli(layout, *arguments)
     if code != 0:
-        raise RuntimeError(f"cassiasail apply ended with exit code {code}")
+        raise RuntimeError(f"cassiasail {arguments[0]}: exit code {code}: {output}")
+    return output
 
 
 async def version_history(processes: LayoutProcesses, vm: Vm) -> dict[int, float]:
@@ -106,7 +113,7 @@
     await asyncio.sleep(STEP)
     await apply_lists(processes, ["burst = 80=>burst = 90"])
     await wait_for_version(processes, 2)
-    histories = [await version_history(processes, vm) for vm in layout.vms]
+    histories = {2: [await version_history(processes, vm) for vm in layout.vms]}
 
     killed = layout.vms[1]
     print(f"killing and restarting the daemon of {killed.name}")
@@ -131,7 +138,7 @@
         last["late"] = True
     await apply_lists(processes, ["burst = 80=>burst = 100"])
     await wait_for_version(processes, 3)
-    histories += [await version_history(processes, vm) for vm in layout.vms]
+    histories[3] = [await version_history(processes, vm) for vm in layout.vms]
     await asyncio.sleep(STEP)
     return {
         "commits": await processes.get_json(commits),
@@ -156,17 +163,17 @@
 
 
 def fill_convergence(report: Report, seen: dict[str, Any]) -> None:
-    """Add the time from commit to each daemon, for each version after the first."""
-    for version_text, committed in seen["commits"].items():
-        version = int(version_text)
-        times = [
-            max(0.0, history[version] - committed)
-            for history in seen["histories"]
-            if version in history
-        ]
-        # The first version waits for daemons that are still starting.
-        if version > 1 and times:
-            report.convergence_by_version[version] = sorted(times)
+    """Add the time from commit to each daemon, for each version after the first.
+
+    The first version waits for daemons that are still starting. Each version is
+    looked up right after it was committed, because a daemon that is restarted later
+    has it in force again from then on.
+    """
+    for version, histories in seen["histories"].items():
+        committed = seen["commits"][str(version)]
+        report.convergence_by_version[version] = sorted(
+            max(0.0, history[version] - committed) for history in histories
+        )
 
 
 async def fill_metrics(report: Report, processes: LayoutProcesses) -> None:
--- /dev/null
+++ b/src/cassiasail/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the operators' command line with ``python -m cassiasail``."""
+
+from ._internal.cli.main import main
+
+if __name__ == "__main__":
+    main()
