--- a/devtools/quickstart.py
+++ b/devtools/quickstart.py
@@ -27,6 +27,8 @@
 LISTS = Path(__file__).parent / "lists"
 # Seconds of traffic around each step of the tour.
 STEP = 4.0
+# A line that the lists of every layout have.
+SMALL_BURST = "burst = 40"
 CONVERGENCE_LIMIT = 8.0  # seconds; the brief's bound on a change
 # Clocks of one VM and its neighbours agree here; the margin covers the time between
 # the spending of a token and the start of the call at the target.
@@ -111,7 +113,7 @@
     layout = processes.layout
     commits = f"http://{layout.store}/commits"
     await asyncio.sleep(STEP)
-    await apply_lists(processes, ["burst = 80=>burst = 90"])
+    await apply_lists(processes, [f"{SMALL_BURST}=>burst = 45"])
     await wait_for_version(processes, 2)
     histories = {2: [await version_history(processes, vm) for vm in layout.vms]}
 
@@ -136,7 +138,7 @@
     last = await _last_state(processes, drained)
     if last["last_call_at"] > drain_started + 2.0:
         last["late"] = True
-    await apply_lists(processes, ["burst = 80=>burst = 100"])
+    await apply_lists(processes, [f"{SMALL_BURST}=>burst = 50"])
     await wait_for_version(processes, 3)
     histories[3] = [await version_history(processes, vm) for vm in layout.vms]
     await asyncio.sleep(STEP)
