Show the widest view of the fleet and the age of store answers

Reading commands no longer say that nothing was written. The command line also runs with 'python -m'.

--- a/src/cassiasail/_internal/cli/commands/status.py
+++ b/src/cassiasail/_internal/cli/commands/status.py
@@ -9,7 +9,13 @@
 from ..invocation import Invocation
 from ..options import usage_error
 from ..session import Session, head_data, head_line
-from ..status_text import daemon_data, daemon_table, fleet_lines, refused_lines
+from ..status_text import (
+    daemon_data,
+    daemon_table,
+    fleet_lines,
+    refused_lines,
+    widest_view,
+)
 
 
 def run() -> Invocation:
@@ -58,7 +64,7 @@
     yield ""
     yield from daemon_table(answers)
     values = [answer.value for answer in answers if answer.value is not None]
-    fleet = next((list(fleet_lines(value)) for value in values), [])
+    fleet = list(fleet_lines(widest_view(values)))
     if fleet:
         yield ""
         yield from fleet
--- a/src/cassiasail/_internal/cli/committing.py
+++ b/src/cassiasail/_internal/cli/committing.py
@@ -93,7 +93,8 @@
         session.output.result(data, _conflict_lines(result, retry_hint))
         return ExitCode.CONFLICT
     if isinstance(result, NotWritten):
-        raise session.error_of(result.failure)
+        error = session.error_of(result.failure)
+        raise CommandError(f"nothing was written: {error}", exit_code=error.exit_code)
     raise _unknown_outcome(result)
 
 
--- a/src/cassiasail/_internal/cli/main.py
+++ b/src/cassiasail/_internal/cli/main.py
@@ -181,3 +181,7 @@
             _SHARED_OPTIONS,
         )
     )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cassiasail/_internal/cli/session.py
+++ b/src/cassiasail/_internal/cli/session.py
@@ -149,8 +149,8 @@
         if isinstance(failure, Damaged):
             return damaged_error(failure)
         return CommandError(
-            f"{self._failure_text(failure)}; nothing was written. What is in force "
-            "stays in force; try again when the store answers",
+            f"{self._failure_text(failure)}. What is in force stays in force; try "
+            "again when the store answers",
             exit_code=ExitCode.STORE_UNREACHABLE,
         )
 
--- a/src/cassiasail/_internal/cli/status_text.py
+++ b/src/cassiasail/_internal/cli/status_text.py
@@ -35,6 +35,22 @@
     yield from problems
 
 
+def widest_view(values: Sequence[dict[str, Any]]) -> dict[str, Any]:
+    """Return the status that counts most daemons; a leaf counts only itself."""
+    return max(values, key=_counted, default={})
+
+
+def _counted(value: dict[str, Any]) -> int:
+    counts = (dig(centre, "version_counts") for centre in dig_list(value, "fleet"))
+    return sum(
+        count
+        for by_version in counts
+        if isinstance(by_version, dict)
+        for count in by_version.values()
+        if type(count) is int
+    )
+
+
 def fleet_lines(value: dict[str, Any]) -> Iterator[str]:
     """Yield the versions of the fleet as one daemon sees them."""
     rows = []
@@ -50,7 +66,9 @@
         name = dig(centre, "data_centre")
         rows.append((name, versions or UNKNOWN, "; ".join(stragglers) or "-"))
     if rows:
-        yield f"fleet, as seen by {show(dig(value, 'daemon'))}:"
+        scope = dig(value, "scope")
+        limit = f", scope {show(scope)}" if scope is not None else ""
+        yield f"fleet, as seen by {show(dig(value, 'daemon'))}{limit}:"
         yield from table(("data centre", "daemons by version", "stragglers"), rows)
     members = dig(value, "members")
     if isinstance(members, dict):
@@ -88,9 +106,8 @@
     reachable = dig(value, "store", "reachable")
     if not isinstance(reachable, bool):
         return UNKNOWN
-    if reachable:
-        return "reachable"
     age = dig(value, "store", "last_answer_seconds")
-    if type(age) in (int, float):
-        return f"unreachable for {age:.0f} s"
-    return "unreachable"
+    if type(age) not in (int, float):
+        return "reachable" if reachable else "unreachable"
+    # Most daemons hardly ever ask the store, so a good answer may be old.
+    return f"answered {age:.0f} s ago" + ("" if reachable else ", now unreachable")
