--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -107,3 +107,21 @@
     "Requests quarantined because targets died while running them.",
     registry=REGISTRY,
 )
+CLAIMS = Counter(
+    "cassiasail_claims",
+    "Claims of idempotency keys, by what became of them.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+TARGETS_EJECTED = Counter(
+    "cassiasail_targets_ejected",
+    "Ejections of outlier targets, by what was measured.",
+    ["reason"],
+    registry=REGISTRY,
+)
+TARGETS_CHOSEN = Counter(
+    "cassiasail_targets_chosen",
+    "Choices of a target, by where it is and whether nearer ones were saturated.",
+    ["place"],
+    registry=REGISTRY,
+)
