--- a/src/cassiasail/_internal/coordination/commits.py
+++ b/src/cassiasail/_internal/coordination/commits.py
@@ -259,7 +259,7 @@
 
 
 async def _pause(clock: Clock, pause: float) -> float:
-    """Sleep with full jitter and return the next pause."""
+    """Sleep with jitter and return the next pause."""
     await clock.sleep(random.uniform(pause / 2, pause))
     return min(2 * pause, _LONGEST_PAUSE)
 
