Spread the owners of quota shards by asks, not by one scan at start

Daemons that started together scanned before all shards were claimed and did not know the other owners for a minute: a skewed load used 0.29 of its allowance (12 daemons, demand 1.2). Asks now carry a digest of the owners known and answers bring missing ones; only owners scan again until all are known. Borrowing asks several shards at once, as far as they probably have tokens.

--- /dev/null
+++ b/devtools/bench_quotas.py
@@ -0,0 +1,300 @@
+"""Bench of fleet-wide allowances on virtual time against a static split.
+
+The same calls go to the program and to the baseline, which gives each daemon a
+fixed share of the allowance. Three loads: ``even`` over all daemons, ``skewed``
+(90% at one daemon in ten) and ``moving`` (90% at one daemon in ten, another tenth
+every 5 s). Prints calls over allowance, utilisation (calls granted of those that a
+single counter for the whole fleet grants), waits, control messages and bytes.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import statistics
+import time
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+
+from cassiasail._internal.state.lists import Allowance
+from cassiasail._internal.state.quotas import QuotaKey
+
+from .quota_oracle import AllowanceOracle
+from .quota_world import World, WorldShape, allowance_of, key_named
+
+# The owners are claimed within 2 s and known to each other within 8 s more.
+WARM_UP = 12.0
+MOVE_EVERY = 5.0
+HOT_SHARE = 0.9
+HOLD = 0.05
+KEYS = tuple(key_named(f"customer-{number}") for number in range(4))
+
+
+@dataclass(frozen=True, kw_only=True)
+class Row:
+    """Figures of one run; ``wait_p99_ms`` is that of granted calls."""
+
+    system: str
+    load: str
+    daemons: int
+    offered: int
+    granted: int
+    over_allowance: int
+    utilisation: float
+    cached: float
+    wait_p50_ms: float
+    wait_p99_ms: float
+    messages_per_daemon_s: float
+    bytes_per_daemon_s: float
+    cross_region_bytes_s: float
+    messages_per_owner_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call: when it arrives, at which daemon, and for which allowance."""
+
+    at: float
+    daemon: int
+    key: QuotaKey
+
+
+def calls_of(
+    load: str, rate: float, daemons: int, seconds: float, rng: random.Random
+) -> Iterator[Call]:
+    """Yield calls of all keys in order of time, ``rate`` per key and second."""
+    hot_size = max(1, daemons // 10)
+    at = 0.0
+    while at < seconds:
+        at += rng.expovariate(rate * len(KEYS))
+        daemon = rng.randrange(daemons)
+        if load != "even" and rng.random() < HOT_SHARE:
+            step = int(at / MOVE_EVERY) if load == "moving" else 0
+            daemon = (step * hot_size + rng.randrange(hot_size)) % daemons
+        yield Call(at, daemon, rng.choice(KEYS))
+
+
+class SplitBucket:
+    """The fixed share of one daemon in the baseline."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate, self.burst, self.level, self.now = rate, burst, burst, 0.0
+
+    def take(self, now: float) -> bool:
+        """Spend a token if there is one."""
+        self.level = min(self.burst, self.level + self.rate * (now - self.now))
+        self.now = now
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+def run_static_split(
+    calls: list[Call], allowance: Allowance, daemons: int, load: str, ideal: int
+) -> Row:
+    """Run the baseline: every daemon holds rate / n and burst / n, at least 1."""
+    rate = allowance.rate / daemons
+    # A burst below one call would refuse everything.
+    burst = max(1.0, allowance.burst / daemons)
+    buckets = {
+        (daemon, key): SplitBucket(rate, burst)
+        for daemon in range(daemons)
+        for key in KEYS
+    }
+    oracles = {key: _oracle(allowance, 0.0) for key in KEYS}
+    granted = 0
+    for call in calls:
+        if buckets[call.daemon, call.key].take(call.at):
+            granted += 1
+            oracles[call.key].start(call.at)
+            oracles[call.key].end()
+    over = sum(oracle.over_rate for oracle in oracles.values())
+    return Row(
+        system="static split",
+        load=load,
+        daemons=daemons,
+        offered=len(calls),
+        granted=granted,
+        over_allowance=over,
+        utilisation=granted / ideal,
+        cached=1.0,
+        wait_p50_ms=0.0,
+        wait_p99_ms=0.0,
+        messages_per_daemon_s=0.0,
+        bytes_per_daemon_s=0.0,
+        cross_region_bytes_s=0.0,
+        messages_per_owner_s=0.0,
+    )
+
+
+def run_exchange(
+    calls: list[Call],
+    allowance: Allowance,
+    shape: WorldShape,
+    load: str,
+    ideal: int,
+    seconds: float,
+) -> Row:
+    """Run the program on the same calls."""
+    world = World(seed=1, allowance_by_key=dict.fromkeys(KEYS, allowance), shape=shape)
+    world.run(WARM_UP)
+    network = world.network
+    for counter in (network.messages, network.bytes):
+        counter.clear()
+    network.messages_by_receiver.clear()
+    asyncio.set_event_loop(world.loop)
+    world.loop.run_until_complete(_replay(world, calls))
+    world.run(0.3)
+    daemons = len(world.daemons)
+    owners = {daemon.id for daemon in world.daemons if daemon.leases.shard_by_id}
+    to_owners = sum(network.messages_by_receiver[owner] for owner in owners)
+    counts = list(world.counts_by_key.values())
+    granted = sum(count.granted for count in counts)
+    waits = sorted(1000 * wait for count in counts for wait in count.waited) or [0.0]
+    row = Row(
+        system="cassiasail",
+        load=load,
+        daemons=daemons,
+        offered=len(calls),
+        granted=granted,
+        over_allowance=world.violations(),
+        utilisation=granted / ideal,
+        cached=sum(count.cached for count in counts) / max(1, granted),
+        wait_p50_ms=statistics.median(waits),
+        wait_p99_ms=waits[int(0.99 * (len(waits) - 1))],
+        messages_per_daemon_s=sum(network.messages.values()) / daemons / seconds,
+        bytes_per_daemon_s=sum(network.bytes.values()) / daemons / seconds,
+        cross_region_bytes_s=network.bytes["cross"] / seconds,
+        messages_per_owner_s=to_owners / len(owners) / seconds,
+    )
+    world.close()
+    return row
+
+
+async def _replay(world: World, calls: list[Call]) -> None:
+    began = world.loop.time()
+    for call in calls:
+        pause = began + call.at - world.loop.time()
+        if pause > 0:
+            await asyncio.sleep(pause)
+        world.start_calls(world.daemons[call.daemon], call.key, 1, HOLD)
+
+
+def _oracle(allowance: Allowance, now: float) -> AllowanceOracle:
+    return AllowanceOracle(
+        allowance=allowance, level=allowance.burst, now=now, hold=0.0
+    )
+
+
+def ideal_calls(calls: list[Call], allowance: Allowance) -> int:
+    """Return the calls that one counter for the whole fleet grants."""
+    buckets = {key: SplitBucket(allowance.rate, allowance.burst) for key in KEYS}
+    return sum(buckets[call.key].take(call.at) for call in calls)
+
+
+def bench(
+    size: int, seconds: float, rate_per_daemon: float, demand: float
+) -> Iterator[Row]:
+    """Yield the rows of all loads for four data centres of ``size`` daemons."""
+    shape = WorldShape(
+        daemons_per_data_centre=size,
+        shards_per_data_centre=4,
+        term=3600.0,
+        max_deadline=10.0,
+        confirm_interval=60.0,
+        start_jitter=2.0,
+    )
+    daemons = 4 * size
+    rate = rate_per_daemon * daemons
+    allowance = allowance_of(rate, int(rate), int(10 * rate))
+    for load in ("even", "skewed", "moving"):
+        rng = random.Random(1)
+        calls = list(calls_of(load, demand * rate, daemons, seconds, rng))
+        ideal = ideal_calls(calls, allowance)
+        yield run_exchange(calls, allowance, shape, load, ideal, seconds)
+        yield run_static_split(calls, allowance, daemons, load, ideal)
+
+
+def measure_try_acquire(rounds: int = 100_000) -> float:
+    """Return the microseconds of a cached ``try_acquire`` plus ``finished``."""
+    allowance = allowance_of(1e9, 10**9, 10**6)
+    shape = WorldShape(regions=1, data_centres_per_region=1, shards_per_data_centre=1)
+    world = World(seed=1, allowance_by_key={KEYS[0]: allowance}, shape=shape)
+    world.run(WARM_UP)
+    exchange = world.daemons[0].exchange
+    clock = world.daemons[0].clock
+    key, deadline = KEYS[0], clock.now() + 1
+
+    async def fill() -> None:
+        waiting = [exchange.acquire(*key, allowance, deadline) for _ in range(1000)]
+        for grant in await asyncio.gather(*waiting):
+            assert not hasattr(grant, "reason")
+            exchange.finished(grant)
+
+    world.loop.run_until_complete(fill())
+    # A full cache is set up directly; prefetching it would need real load.
+    holding = exchange._cache.holding_by_key[key]
+    exchange._cache.receive(
+        holding,
+        serial=10**6,
+        shard=world.shards[0],
+        tokens=rounds,
+        permits=1,
+        sent_at=clock.now(),
+    )
+    began = time.perf_counter()
+    taken = 0
+    for _ in range(rounds):
+        grant = exchange.try_acquire(*key, allowance, deadline)
+        if grant is None:
+            break
+        taken += 1
+        exchange.finished(grant)
+    elapsed = time.perf_counter() - began
+    world.close()
+    assert taken == rounds
+    return 1e6 * elapsed / rounds
+
+
+def main() -> None:
+    """Run the bench as a command."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", default="3,13", help="daemons per data centre")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--rate-per-daemon", type=float, default=4.0)
+    parser.add_argument("--demand", type=float, default=1.2, help="of the allowance")
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    rows: list[Row] = []
+    for size in (int(text) for text in options.sizes.split(",")):
+        rows += bench(size, options.seconds, options.rate_per_daemon, options.demand)
+    microseconds = measure_try_acquire()
+    if options.json:
+        result = {"try_acquire_us": microseconds, "rows": [asdict(row) for row in rows]}
+        print(json.dumps(result, indent=1))
+        return
+    print_table(rows)
+    print(f"try_acquire and finished: {microseconds:.2f} us per call")
+    if any(row.over_allowance for row in rows if row.system == "cassiasail"):
+        raise SystemExit("calls over allowance: see the table")
+
+
+def print_table(rows: list[Row]) -> None:
+    """Print the rows under their headings."""
+    print(
+        "system        load    daemons  offered  granted  over   util cached "
+        "p50 ms p99 ms  msg/d/s   B/d/s  cross B/s  msg/owner/s"
+    )
+    for row in rows:
+        print(
+            f"{row.system:13} {row.load:7} {row.daemons:7} {row.offered:8} "
+            f"{row.granted:8} {row.over_allowance:5} {row.utilisation:6.3f} "
+            f"{row.cached:6.3f} {row.wait_p50_ms:6.2f} {row.wait_p99_ms:6.1f} "
+            f"{row.messages_per_daemon_s:8.1f} {row.bytes_per_daemon_s:7.0f} "
+            f"{row.cross_region_bytes_s:10.0f} {row.messages_per_owner_s:12.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cassiasail/_internal/coordination/owner_link.py
+++ b/src/cassiasail/_internal/coordination/owner_link.py
@@ -10,8 +10,10 @@
 from ..protocol.quotas import QuotaAsk, QuotaGrant, QuotaMessage, QuotaReturn
 from ..state.lists import Allowance
 from ..state.quotas import QuotaKey, ShardId
-from .quota_service import Ask, QuotaService, shares_of
-from .shard_leases import ShardLeases, rank
+from .borrowing import shares_of
+from .quota_service import Ask, QuotaService
+from .shard_directory import rank
+from .shard_leases import ShardLeases
 
 # A shard whose owner failed or was not the owner is avoided for this long, so that
 # waiting calls go to another owner instead of a second timeout.
@@ -67,6 +69,10 @@
         other = max(self._other_shards, key=preference)
         return other if preference(other)[:2] == (True, True) else best
 
+    def known(self) -> int:
+        """Return the digest of the owners known here, to be sent with an ask."""
+        return self._leases.directory.digest
+
     def route_of_report(self, shard: ShardId) -> ShardId:
         """Return the shard whose owner takes reports on ``shard``."""
         return shard if shard in self._own_shards else self._own_shards[0]
@@ -87,11 +93,11 @@
             return None
         outcome = "answered" if answer.owned else "not_owner"
         metrics.QUOTA_ASKS.labels("asker", outcome).inc()
-        if not answer.owned:
-            self._leases.directory.learn(answer.owners)
-            if self._leases.directory.owner_of(shard) in (owner, None):
-                self._avoid(shard)
-                self._leases.request_scan()
+        self._leases.directory.learn(answer.owners)
+        known = self._leases.directory.owner_of(shard)
+        if not answer.owned and known in (owner, None):
+            self._avoid(shard)
+            self._leases.request_scan()
         return answer
 
     def _likely_owner(self, shard: ShardId) -> DaemonId:
--- a/src/cassiasail/_internal/coordination/quota_exchange.py
+++ b/src/cassiasail/_internal/coordination/quota_exchange.py
@@ -220,6 +220,7 @@
             shard=shard,
             forwarded=False,
             permit_ms=int(self._max_deadline * 1000),
+            known=self._link.known(),
             wanted=tuple(
                 self._wanted(serial, holding)
                 for serial, holding in holding_by_serial.items()
--- a/src/cassiasail/_internal/coordination/quota_service.py
+++ b/src/cassiasail/_internal/coordination/quota_service.py
@@ -9,8 +9,6 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
-from functools import lru_cache
 
 from .. import metrics
 from ..clock import Clock
@@ -22,54 +20,27 @@
     QuotaKey,
     Report,
     ShardId,
-    Share,
     Wanted,
-    share_of,
 )
+from .borrowing import ShardEstimates, rest_of
 from .shard_leases import ShardLeases
 
 # Lines for the same shard are collected for this long before they are forwarded.
 FORWARD_DELAY = 0.004
-# Other shards asked for one line, one after the other.
-FORWARD_ROUNDS = 3
+# Rounds in which other shards are asked for one line.
+FORWARD_ROUNDS = 2
 # An ask is answered with what is there after this long; the asker waits 200 ms.
 FORWARD_LIMIT = 0.08
-# A shard that had nothing is left alone for this long, doubling up to the maximum;
-# a contended allowance would otherwise be asked for by every owner all the time.
-FIRST_PAUSE = 0.1
-LONGEST_PAUSE = 2.0
-# A shard whose owner is unknown, unreachable or not the owner any more.
-UNREACHABLE_PAUSE = 2.0
-# Beyond this many hints the oldest are dropped.
-MAX_HINTS = 20_000
 # Grants that an unseen answer may have contained are returned in full.
 ALL = 1 << 40
 
 Ask = Callable[[DaemonId, QuotaMessage], Awaitable[QuotaMessage | None]]
 
 
-@lru_cache(maxsize=4096)
-def shares_of(key: QuotaKey, allowance: Allowance, total: int) -> tuple[Share, ...]:
-    """Return the shares of an allowance by shard position."""
-    return tuple(share_of(key, allowance, at, total) for at in range(total))
-
-
-@dataclass(slots=True)
-class _Hint:
-    """What a shard had left of a key when last asked."""
-
-    tokens: int
-    permits: int
-    at: float
-    pause: float = 0.0
-    paused_until: float = 0.0
-
-
 class QuotaService:
     """The owner side of one daemon.
 
     ``ask`` sends a message to another daemon and returns None on failure.
-    ``distance`` orders data centres; nearer ones are asked first.
     """
 
     def __init__(
@@ -85,15 +56,13 @@
         rng: random.Random,
     ) -> None:
         self._me = me
-        self._shards = shards
         self._leases = leases
         self._ask = ask
         self._allowance_of = allowance_of
-        self._distance = distance
         self._clock = clock
-        self._rng = rng
-        self._hint_by_id: dict[tuple[QuotaKey, ShardId], _Hint] = {}
-        self._unreachable_until: dict[ShardId, float] = {}
+        self._estimates = ShardEstimates(
+            shards=shards, distance=distance, clock=clock, rng=rng
+        )
         self._outbox: dict[
             tuple[ShardId, int], list[tuple[Wanted, asyncio.Future[GrantLine | None]]]
         ] = {}
@@ -119,7 +88,9 @@
             borrows = (self._borrow(message, line, allow) for line, allow in short)
             for borrowed in await asyncio.gather(*borrows):
                 lines.extend(borrowed)
-        return QuotaGrant(owned=True, lines=tuple(lines))
+        directory = self._leases.directory
+        news = directory.rows() if directory.digest > message.known else ()
+        return QuotaGrant(owned=True, lines=tuple(lines), owners=news)
 
     async def run_once(self) -> None:
         """Pass on reports, forget idle buckets and old hints; about every 100 ms."""
@@ -128,8 +99,7 @@
             if owned is not None:
                 owned.sweep()
         metrics.QUOTA_SHARDS.set(len(self._leases.shard_by_id))
-        while len(self._hint_by_id) > MAX_HINTS:
-            self._hint_by_id.pop(next(iter(self._hint_by_id)))
+        self._estimates.forget_oldest()
         for shard in list(self._relayed):
             self._spawn(self._relay_reports(shard))
 
@@ -147,7 +117,7 @@
         granted = owned.grant(wanted, allowance, message.permit_ms / 1000)
         shard = message.shard
         lines.append(_grant_line(wanted, shard, granted))
-        rest = _rest(wanted, granted.tokens, granted.permits)
+        rest = rest_of(wanted, granted.tokens, granted.permits)
         if rest.need or rest.permit_need:
             short.append((rest, allowance))
 
@@ -159,67 +129,26 @@
         tried = {message.shard}
         lines: list[GrantLine] = []
         for _ in range(FORWARD_ROUNDS):
-            shard = self._most_promising(wanted, allowance, tried)
-            if shard is None or self._clock.now() >= give_up:
+            parts = self._estimates.plan(wanted, allowance, tried)
+            if not parts or self._clock.now() >= give_up:
                 break
             # A second ask under the same serial would return the same grant.
-            tried.add(shard)
-            line = await self._forward(shard, wanted, message.permit_ms)
-            self._note(wanted, shard, line)
-            if line is None:
-                continue
-            lines.append(line)
-            wanted = _rest(wanted, line.tokens, line.permits)
+            tried.update(shard for shard, _ in parts)
+            answers = await asyncio.gather(
+                *(
+                    self._forward(shard, part, message.permit_ms)
+                    for shard, part in parts
+                )
+            )
+            for (shard, part), line in zip(parts, answers, strict=True):
+                if line is not None:
+                    self._estimates.note(part, shard, line)
+                    lines.append(line)
+                    wanted = rest_of(wanted, line.tokens, line.permits)
             if not (wanted.need or wanted.permit_need):
                 break
         return lines
 
-    def _most_promising(
-        self, wanted: Wanted, allowance: Allowance, tried: set[ShardId]
-    ) -> ShardId | None:
-        now = self._clock.now()
-        shares = shares_of(wanted.key, allowance, len(self._shards))
-        best: tuple[float, float, float] | None = None
-        chosen: ShardId | None = None
-        for shard, share in zip(self._shards, shares, strict=True):
-            if shard in tried or self._unreachable_until.get(shard, 0.0) > now:
-                continue
-            gain = self._expected_gain(wanted, shard, share, now)
-            if gain < 1:
-                continue
-            order = (-self._distance(shard.data_centre), gain, self._rng.random())
-            if best is None or order > best:
-                best, chosen = order, shard
-        return chosen
-
-    def _expected_gain(
-        self, wanted: Wanted, shard: ShardId, share: Share, now: float
-    ) -> float:
-        hint = self._hint_by_id.get((wanted.key, shard))
-        tokens, permits = share.burst, float(share.in_flight)
-        if hint is not None:
-            if hint.paused_until > now:
-                return 0.0
-            tokens = min(tokens, hint.tokens + share.rate * (now - hint.at))
-            # Permits come back at a pace unknown here; the pause limits the tries.
-            permits = min(permits, max(1.0, float(hint.permits)))
-        gain = min(tokens, wanted.need) if wanted.need else 0.0
-        if wanted.permit_need:
-            gain = max(gain, min(permits, wanted.permit_need))
-        return gain
-
-    def _note(self, wanted: Wanted, shard: ShardId, line: GrantLine | None) -> None:
-        if line is None:
-            return
-        now = self._clock.now()
-        hint = self._hint_by_id.setdefault((wanted.key, shard), _Hint(0, 0, now))
-        hint.tokens, hint.permits, hint.at = line.left, line.permits_left, now
-        if line.tokens or line.permits:
-            hint.pause = hint.paused_until = 0.0
-            return
-        hint.pause = min(LONGEST_PAUSE, max(FIRST_PAUSE, 2 * hint.pause))
-        hint.paused_until = now + hint.pause * self._rng.uniform(0.5, 1.0)
-
     async def _forward(
         self, shard: ShardId, wanted: Wanted, permit_ms: int
     ) -> GrantLine | None:
@@ -242,6 +171,7 @@
             shard=shard,
             forwarded=True,
             permit_ms=permit_ms,
+            known=self._leases.directory.digest,
             wanted=tuple(wanted for wanted, _ in batch),
             reports=tuple(reports.values()),
         )
@@ -262,7 +192,7 @@
     ) -> QuotaMessage | None:
         owner = self._leases.directory.owner_of(shard)
         if owner is None:
-            self._mark_unreachable(shard)
+            self._estimates.mark_unreachable(shard)
             self._leases.request_scan()
             return QuotaGrant(owned=False)
         if owner == self._me:
@@ -270,21 +200,16 @@
         answer = await self._ask(owner, message)
         if not isinstance(answer, QuotaGrant):
             metrics.QUOTA_ASKS.labels("owner", "failed").inc()
-            self._mark_unreachable(shard)
+            self._estimates.mark_unreachable(shard)
             return None
         outcome = "answered" if answer.owned else "not_owner"
         metrics.QUOTA_ASKS.labels("owner", outcome).inc()
-        if not answer.owned:
-            self._leases.directory.learn(answer.owners)
-            if self._leases.directory.owner_of(shard) == owner:
-                self._mark_unreachable(shard)
-                self._leases.request_scan()
+        self._leases.directory.learn(answer.owners)
+        if not answer.owned and self._leases.directory.owner_of(shard) == owner:
+            self._estimates.mark_unreachable(shard)
+            self._leases.request_scan()
         return answer
 
-    def _mark_unreachable(self, shard: ShardId) -> None:
-        pause = UNREACHABLE_PAUSE * self._rng.uniform(0.5, 1.0)
-        self._unreachable_until[shard] = self._clock.now() + pause
-
     def _take_report(self, asker: str, report: Report, *, relay: bool) -> None:
         if not report.asker:
             report = report._replace(asker=asker)
@@ -311,17 +236,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _rest(wanted: Wanted, tokens: int, permits: int) -> Wanted:
-    """Return what remains of a line after a grant."""
-    need = max(0, wanted.need - tokens)
-    extra = max(0, wanted.extra - max(0, tokens - wanted.need))
-    permit_need = max(0, wanted.permit_need - permits)
-    permit_extra = max(0, wanted.permit_extra - max(0, permits - wanted.permit_need))
-    return wanted._replace(
-        need=need, extra=extra, permit_need=permit_need, permit_extra=permit_extra
-    )
-
-
 def _grant_line(wanted: Wanted, shard: ShardId, granted: Granted) -> GrantLine:
     return GrantLine(
         asker=wanted.asker,
--- a/src/cassiasail/_internal/coordination/shard_leases.py
+++ b/src/cassiasail/_internal/coordination/shard_leases.py
@@ -8,17 +8,17 @@
 """
 
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
-import xxhash
 from absl import logging
 
 from ..clock import Clock
 from ..ids import DaemonId, DataCentre
 from ..protocol.quotas import OwnerRow
 from ..state.quotas import QuotaShard, ShardId
+from .shard_directory import ROW_PREFIX, OwnerDirectory, rank, row_key
 from .store import ABSENT, Committed, Condition, Conflict, Put, Store, StoredRow
 from .store import StoreFailure as Failure
 
@@ -30,48 +30,11 @@
 WATCHERS = 2
 # Full jitter before the first read, so that a herd restart spreads its reads.
 START_JITTER = 2.0
-# One scan per daemon and minute keeps 2,800 daemons below 50 reads/s even if all of
-# them lose track of the owners at once.
+# Owners and watchers read all rows this often at most. The others learn the owners
+# from the answers to their asks and read rows over a span ``OTHERS_SPREAD`` times
+# the jitter: 2,800 daemons that start at once make 23 reads/s.
 SCAN_INTERVAL = 60.0
-ROW_PREFIX = "quota/"
-
-
-def row_key(shard: ShardId) -> str:
-    """Return the key of a shard's row."""
-    return f"{ROW_PREFIX}{shard.data_centre}/{shard.number}"
-
-
-def rank(shard: ShardId, members: Iterable[DaemonId]) -> list[DaemonId]:
-    """Return members by rendezvous rank for a shard, highest first."""
-    prefix = f"{shard.data_centre}/{shard.number}/"
-
-    def weight(member: DaemonId) -> tuple[int, str]:
-        return xxhash.xxh3_64_intdigest((prefix + member).encode()), member
-
-    return sorted(members, key=weight, reverse=True)
-
-
-class OwnerDirectory:
-    """The owners of shards as far as known; the highest revision of a row wins."""
-
-    def __init__(self) -> None:
-        self.row_by_shard: dict[ShardId, OwnerRow] = {}
-
-    def learn(self, rows: Iterable[OwnerRow]) -> None:
-        """Take rows from a peer or from the store, unless newer ones are known."""
-        for row in rows:
-            known = self.row_by_shard.get(row.shard)
-            if known is None or row.revision > known.revision:
-                self.row_by_shard[row.shard] = row
-
-    def owner_of(self, shard: ShardId) -> DaemonId | None:
-        """Return the daemon believed to own a shard."""
-        row = self.row_by_shard.get(shard)
-        return row.owner if row and row.owner else None
-
-    def rows(self) -> tuple[OwnerRow, ...]:
-        """Return all known rows, to pass on to a peer."""
-        return tuple(self.row_by_shard.values())
+OTHERS_SPREAD = 60
 
 
 @dataclass(slots=True)
@@ -127,8 +90,10 @@
         self.shard_by_id: dict[ShardId, QuotaShard] = {}
         self.directory = OwnerDirectory()
         self._due = clock.now() + rng.uniform(0, start_jitter)
-        self._scan_due: float | None = self._due
+        self._scan_due: float | None = clock.now() + self._scan_jitter()
         self._scanned: float | None = None
+        # Doubles until all owners are known.
+        self._rescan_after = start_jitter
 
     def usable(self, shard: ShardId) -> QuotaShard | None:
         """Return an owned shard if its lease still holds at this moment."""
@@ -143,13 +108,33 @@
 
     def request_scan(self) -> None:
         """Have the rows read again soon, at most once per ``scan_interval``."""
+        self._plan_scan(self._scan_interval)
+
+    def _plan_scan(self, interval: float) -> None:
         if self._scan_due is not None:
             return
         now = self._clock.now()
-        earliest = now
-        if self._scanned is not None:
-            earliest = max(now, self._scanned + self._scan_interval)
-        self._scan_due = earliest + self._rng.uniform(0, self._start_jitter)
+        earliest = now if self._scanned is None else self._scanned + interval
+        self._scan_due = max(now, earliest) + self._scan_jitter()
+
+    def _scan_jitter(self) -> float:
+        involved = bool(self.shard_by_id) or any(
+            map(self._is_watcher, self._own_shards)
+        )
+        spread = 1 if involved else OTHERS_SPREAD
+        return self._rng.uniform(0, self._start_jitter * spread)
+
+    def _rescan_while_incomplete(self) -> None:
+        """Plan another scan while a fleet that starts has shards without owner.
+
+        Only owners do so: they forward asks and tell the others.
+        """
+        known = map(self.directory.owner_of, self._position_by_shard)
+        if not self.shard_by_id or all(known):
+            self._rescan_after = self._start_jitter
+            return
+        self._rescan_after = min(self._scan_interval, 2 * self._rescan_after)
+        self._plan_scan(self._rescan_after)
 
     async def run_once(self) -> None:
         """Do what is due: scan the rows, confirm own leases, claim free shards."""
@@ -159,6 +144,7 @@
         if self._scan_due is not None and now >= self._scan_due:
             self._scan_due = None
             await self._scan()
+            self._rescan_while_incomplete()
         if now < self._due:
             return
         self._due = now + self._confirm_interval * self._rng.uniform(0.9, 1.0)
--- a/src/cassiasail/_internal/protocol/quotas.py
+++ b/src/cassiasail/_internal/protocol/quotas.py
@@ -46,13 +46,14 @@
 
     ``permit_ms`` is the validity of permits from the send time of the ask.
     ``forwarded`` is set by an owner that asks on behalf of others; such an ask is
-    not forwarded again.
+    not forwarded again. ``known`` is the digest of the owners that the sender knows.
     """
 
     asker: str
     shard: ShardId
     forwarded: bool
     permit_ms: int
+    known: int
     wanted: tuple[Wanted, ...]
     reports: tuple[Report, ...] = ()
 
@@ -66,6 +67,7 @@
             [*self.shard],
             self.forwarded,
             self.permit_ms,
+            self.known,
             wanted,
             reports,
         ]
@@ -73,14 +75,15 @@
     @classmethod
     def from_wire(cls, wire: Any) -> "QuotaAsk":
         """Return the message that ``wire`` encodes."""
-        fields = _list(wire, 7, kind="quota-ask")
+        fields = _list(wire, 8, kind="quota-ask")
         return cls(
             asker=_text(fields[1]),
             shard=_shard(fields[2]),
             forwarded=_flag(fields[3]),
             permit_ms=_count(fields[4]),
-            wanted=tuple(_wanted(line) for line in _lines(fields[5])),
-            reports=tuple(_report(line) for line in _lines(fields[6])),
+            known=_count(fields[5]),
+            wanted=tuple(_wanted(line) for line in _lines(fields[6])),
+            reports=tuple(_report(line) for line in _lines(fields[7])),
         )
 
 
@@ -88,7 +91,8 @@
 class QuotaGrant:
     """Answers an ask; ``owned`` is false when the asked daemon lacks the shard.
 
-    ``owners`` lists what the answering daemon knows when ``owned`` is false.
+    ``owners`` lists the owners known to the answering daemon when ``owned`` is false
+    or when the asker knows less.
     """
 
     owned: bool
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -9,10 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cassiasail._internal.coordination.shard_directory import row_key
 from cassiasail._internal.coordination.shard_leases import (
     TAKE_OVER_MARGIN,
     ShardLeases,
-    row_key,
 )
 from cassiasail._internal.coordination.store import (
     Committed,
@@ -297,6 +297,7 @@
         shard=SHARDS,
         forwarded=st.booleans(),
         permit_ms=COUNT,
+        known=COUNT,
         wanted=WANTED,
         reports=REPORTS,
     ),
@@ -318,7 +319,7 @@
     assert quota_message_from_wire(wire) == message
 
 
-@given(message=MESSAGES, position=st.integers(0, 6), junk=JUNK)
+@given(message=MESSAGES, position=st.integers(0, 7), junk=JUNK)
 def test_malformed_messages_are_refused(
     message: QuotaAsk | QuotaGrant | QuotaReturn, position: int, junk: Any
 ) -> None:
