Split the calls in flight from the queue; lift lone strikes after ten answers

A request that is often alone on its target would keep the strikes of unrelated crashes for 10 min although it is answered all the time. A call that finds a free slot no longer displaces a waiting one.

--- a/src/cassiasail/_internal/coordination/quarantine.py
+++ b/src/cassiasail/_internal/coordination/quarantine.py
@@ -39,6 +39,9 @@
 )
 
 FINGERPRINT_BYTES = 16
+# A strike without other suspects is lifted after this many answers, so that a request
+# which is often alone on its target does not collect strikes of unrelated crashes.
+LIFT_ANSWERS = 10
 # One death names at most this many calls; a target has up to 18 slots.
 MAX_FINGERPRINTS_PER_DEATH = 128
 MAX_DEATHS = 512
@@ -96,6 +99,8 @@
         self._deaths: deque[Death] = deque()
         self._death_by_key: dict[tuple[TargetId, float], Death] = {}
         self._deaths_by_fingerprint: dict[Fingerprint, list[Death]] = {}
+        # Answers seen here since the last strike.
+        self._answers_by_fingerprint: dict[Fingerprint, int] = {}
         self._until_by_fingerprint: OrderedDict[Fingerprint, float] = OrderedDict()
         self._seen: OrderedDict[tuple[TargetId, float], None] = OrderedDict()
         self._lifted: OrderedDict[tuple[Fingerprint, TargetId, float], None] = (
@@ -158,8 +163,9 @@
     def answered(self, fingerprint: Fingerprint) -> None:
         """Lift the strikes of a request that a target has answered.
 
-        Strikes of deaths with a single call in flight stay: nothing else explains
-        them. So does a quarantine, except one concluded from a single moment while
+        Strikes of deaths with a single call in flight stay until it was answered
+        several times, because nothing else explains them. A quarantine stays,
+        except one concluded from a single moment while
         that moment lasts: a popular request is then still answered by other targets.
         """
         deaths = self._deaths_by_fingerprint.get(fingerprint)
@@ -167,13 +173,15 @@
             return
         if returned_and_killed(self._moments(fingerprint, deaths)):
             return
-        shared = tuple(
+        answers = self._answers_by_fingerprint.get(fingerprint, 0) + 1
+        self._answers_by_fingerprint[fingerprint] = answers
+        liftable = tuple(
             (death.target, death.started)
             for death in deaths
-            if len(death.fingerprints) > 1
+            if len(death.fingerprints) > 1 or answers >= LIFT_ANSWERS
         )
-        notice = LiftNotice(fingerprint=fingerprint, deaths=shared)
-        if shared and self._forget(notice):
+        notice = LiftNotice(fingerprint=fingerprint, deaths=liftable)
+        if liftable and self._forget(notice):
             self._publish(notice)
 
     def notices(self) -> list[Notice]:
@@ -225,6 +233,7 @@
         for fingerprint in fingerprints:
             if (fingerprint, *key) in self._lifted:
                 continue
+            self._answers_by_fingerprint.pop(fingerprint, None)
             deaths = self._deaths_by_fingerprint.setdefault(fingerprint, [])
             deaths.append(death)
             deaths.sort(key=lambda each: each.time)
@@ -271,6 +280,7 @@
             self._deaths_by_fingerprint[fingerprint] = kept
         else:
             self._deaths_by_fingerprint.pop(fingerprint, None)
+            self._answers_by_fingerprint.pop(fingerprint, None)
 
     def _judge(self, fingerprint: Fingerprint, now: float) -> float | None:
         """Return until when the strikes quarantine the fingerprint, if they do.
--- a/src/cassiasail/_internal/state/queues.py
+++ b/src/cassiasail/_internal/state/queues.py
@@ -15,13 +15,13 @@
 
 import heapq
 import math
-from dataclasses import dataclass
 from typing import NamedTuple
 
 from .. import invariants
 from ..clock import Clock
 from .fair_queue import Entry, FairQueue, QueuedCall
 from .guarantees import GUARANTEED_SHARE, GuaranteedShares
+from .in_flight import InFlight
 from .lists import CallClass
 from .refusals import Executed, Refusal, RefusalReason
 from .service_times import ClassLoad, ServiceTimes
@@ -34,8 +34,6 @@
 MIN_CAPACITY = 64
 # Bulk may use all slots when no other call has arrived for this long.
 RESERVE_SECONDS = 10.0
-# Bounds the rate at which calls without measurable service time end.
-MIN_COST = 1e-4  # seconds
 # Expired heap items that are tolerated before the heap is rebuilt.
 HEAP_SLACK = 256
 
@@ -49,16 +47,6 @@
     refusal: Refusal | None
 
 
-@dataclass(slots=True, eq=False)
-class Running:
-    """A call that holds a slot."""
-
-    call: QueuedCall
-    cost: float
-    since: float
-    guaranteed: bool
-
-
 class AdmissionQueue:
     """Slots and waiting calls of one target."""
 
@@ -66,7 +54,6 @@
         self, *, clock: Clock, slots: int, capacity: int | None = None
     ) -> None:
         self.slots = slots
-        self.draining = False
         self.times = ServiceTimes()
         self._capacity = capacity
         self._clock = clock
@@ -74,9 +61,7 @@
         self._queue_by_class = {each: FairQueue() for each in CLASSES}
         self._guarantees = GuaranteedShares(self._queue_by_class)
         self._entry_by_ticket: dict[int, Entry] = {}
-        self._running_by_ticket: dict[int, Running] = {}
-        self._running_by_class = dict.fromkeys(CLASSES, 0)
-        self._ends_per_second = dict.fromkeys(CLASSES, 0.0)
+        self._in_flight = InFlight()
         self._expiries: list[tuple[float, int]] = []
         self._last_ticket = 0
         self._last_urgent = -math.inf
@@ -89,7 +74,7 @@
     @property
     def in_flight(self) -> int:
         """Number of calls that hold a slot."""
-        return len(self._running_by_ticket)
+        return len(self._in_flight)
 
     @property
     def capacity(self) -> int:
@@ -107,7 +92,9 @@
         if call.call_class is not CallClass.BULK:
             self._last_urgent = now
         cost = self.times.expected(call.route, call.call_class)
-        refusal = self._refusal_of(call, cost, now) or self._make_room(call, decisions)
+        refusal = self._refusal_of(call, cost, now)
+        if refusal is None and not self._has_slot_for(call.call_class, now):
+            refusal = self._make_room(call, decisions)
         if refusal is not None:
             decisions.append(Decision(ticket, refusal))
             return ticket, decisions
@@ -131,7 +118,7 @@
         entry = self._entry_by_ticket.get(ticket)
         if entry is not None:
             self._take_out(entry)
-        elif ticket in self._running_by_ticket:
+        elif ticket in self._in_flight:
             self._release(ticket, now, measured=False)
         return self._expire(now) + self._dispatch(now)
 
@@ -169,10 +156,9 @@
         if self._has_slot_for(call_class, now):
             return 0.0
         slots = max(self.slots, 1)
-        index = CLASSES.index(call_class)
         rate = float(slots)
         before = 0.0
-        for higher in CLASSES[:index]:
+        for higher in CLASSES[: CLASSES.index(call_class)]:
             before += self._queue_by_class[higher].work
             rate -= self._load.slots(higher, now)
         if call_class is CallClass.BULK:
@@ -182,37 +168,15 @@
         queue = self._queue_by_class[call_class]
         customer = call.customer if call else None
         cost = self.times.expected(call.route, call_class) if call else 0.0
-        before = before / slots + queue.work_before(customer, cost) / rate
-        return self._next_free_slot(call_class) + self._stretched(before, index, rate)
-
-    def _next_free_slot(self, call_class: CallClass) -> float:
-        """Return the expected seconds until a call in flight ends."""
-        classes = CLASSES
-        if call_class is CallClass.BULK and self._running_by_class[call_class]:
-            classes = (CallClass.BULK,)
-        rate = sum(self._ends_per_second[each] for each in classes)
-        return 1 / rate if rate > 0 else 0.0
-
-    def _stretched(self, wait: float, index: int, rate: float) -> float:
-        """Return the wait with lower classes in flight, which nothing interrupts.
-
-        Their slots do not serve this class until they end, half a service time from
-        now on average.
-        """
-        held, release = 0, 0.0
-        for lower in CLASSES[index + 1 :]:
-            running = self._running_by_class[lower]
-            if running:
-                held += running
-                release = max(release, running / self._ends_per_second[lower] / 2)
-        if not held or wait == 0:
-            return wait
-        left = max(rate - held, rate / self.slots) if self.slots else rate
-        return min(wait * rate / left, release + wait)
+        wait = before / slots + queue.work_before(customer, cost) / rate
+        held, seconds = self._in_flight.held_below(call_class)
+        if held:
+            # Until the lower classes end, only the other slots serve this class.
+            left = max(rate - held, rate / slots)
+            wait = min(wait * rate / left, wait + seconds)
+        return self._in_flight.next_end(call_class) + wait
 
     def _refusal_of(self, call: QueuedCall, cost: float, now: float) -> Refusal | None:
-        if self.draining:
-            return _refusal(RefusalReason.DRAINING)
         remaining = call.deadline - now
         if remaining <= 0:
             return _refusal(RefusalReason.DEADLINE_EXCEEDED)
@@ -273,7 +237,7 @@
         return call_class is not CallClass.BULK or self._bulk_may_start(now)
 
     def _bulk_may_start(self, now: float) -> bool:
-        return self._running_by_class[CallClass.BULK] < self._bulk_slots(now)
+        return self._in_flight.count_by_class[CallClass.BULK] < self._bulk_slots(now)
 
     def _bulk_slots(self, now: float) -> int:
         """Return how many slots bulk may hold.
@@ -333,22 +297,13 @@
         call = entry.call
         invariants.check("slots_exact", self.in_flight < self.slots, str(self.slots))
         invariants.check("dispatch_before_deadline", now < call.deadline)
-        self._running_by_ticket[entry.ticket] = Running(
-            call, entry.cost, now, guaranteed
-        )
-        self._running_by_class[call.call_class] += 1
-        self._ends_per_second[call.call_class] += 1 / max(entry.cost, MIN_COST)
+        self._in_flight.start(entry, now, guaranteed=guaranteed)
         self._load.started(call.call_class, entry.cost, now)
         self._guarantees.started(call.call_class, entry.cost, guaranteed=guaranteed)
 
     def _release(self, ticket: int, now: float, *, measured: bool) -> None:
-        running = self._running_by_ticket.pop(ticket)
+        running = self._in_flight.end(ticket)
         call, elapsed = running.call, now - running.since
-        self._running_by_class[call.call_class] -= 1
-        self._ends_per_second[call.call_class] -= 1 / max(running.cost, MIN_COST)
-        if self._running_by_class[call.call_class] == 0:
-            # Rounding errors must not outlive the calls they came from.
-            self._ends_per_second[call.call_class] = 0.0
         excess = elapsed - running.cost
         # A call that was cut off took at least this long.
         if measured or excess > 0:
--- a/tests/unit/test_queues.py
+++ b/tests/unit/test_queues.py
@@ -147,6 +147,17 @@
     assert (refusal.reason, refusal.executed) == (RefusalReason.SHED, Executed.NO)
 
 
+def test_call_that_finds_a_free_slot_displaces_nobody() -> None:
+    """Guards against shedding bulk for a call that does not have to wait."""
+    queue = AdmissionQueue(clock=VirtualClock(), slots=2, capacity=1)
+    first, _ = queue.offer(call())
+    queue.finish(first)
+    queue.offer(call("pull", CallClass.BULK))
+    queue.offer(call("pull", CallClass.BULK))
+    ticket, decisions = queue.offer(call())
+    assert decisions == [Decision(ticket, None)]
+
+
 def test_roots_are_refused_before_deeper_calls_and_leave_after_them() -> None:
     """Guards against losing finished work of a chain while new chains start."""
     clock = VirtualClock()
