--- a/src/cassiasail/_internal/coordination/hosting.py
+++ b/src/cassiasail/_internal/coordination/hosting.py
@@ -16,7 +16,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
 
 from absl import logging
 
@@ -39,11 +38,9 @@
 )
 from .quarantine import Quarantine
 from .target_process import TargetProcess
+from .wakeups import CallLater, Wakeup
 
 SILENCE_SECONDS = 3.0
-# Rounding may let a timer fire just before it is due; without a minimum it would be
-# set again for the same instant over and over.
-MIN_TIMER_DELAY = 0.0005  # seconds
 # Advice to a suspect that meets another one on this target.
 PROBATION_RETRY = 0.1  # seconds
 
@@ -54,13 +51,6 @@
 }
 
 
-class TimerHandle(Protocol):
-    """Handle of a timer, as returned by ``asyncio`` event loops."""
-
-    def cancel(self) -> None: ...
-
-
-CallLater = Callable[[float, Callable[[], None]], TimerHandle]
 Resolve = Callable[[SlotPermit | Refusal], None]
 
 
@@ -88,7 +78,6 @@
         self._quarantine = quarantine
         self._publisher = EndpointPublisher(clock=clock, publish=publish_endpoint)
         self._probe_port = probe_port
-        self._call_later = call_later
         self._queue = AdmissionQueue(clock=clock, slots=0, capacity=queue_capacity)
         self._limit = SlotLimit(0)
         self._process = TargetProcess()
@@ -97,8 +86,7 @@
         self._last_announced = 0.0
         self._waiting_by_ticket: dict[int, tuple[HostedCall, Resolve]] = {}
         self._permit_by_ticket: dict[int, SlotPermit] = {}
-        self._timer: TimerHandle | None = None
-        self._timer_due = float("inf")
+        self._wakeup = Wakeup(clock=clock, call_later=call_later, callback=self.poll)
         self._idle_waiters: list[asyncio.Future[None]] = []
 
     async def admit(self, call: HostedCall) -> SlotPermit | Refusal:
@@ -136,7 +124,7 @@
         ticket, decisions = self._queue.offer(call)
         self._waiting_by_ticket[ticket] = (call, resolve)
         self._apply(decisions)
-        self._arm_timer()
+        self._ask_wakeup()
         return ticket
 
     def withdraw(self, ticket: int) -> None:
@@ -146,7 +134,7 @@
             permit.finished(CallOutcome.CANCELLED)
         elif self._waiting_by_ticket.pop(ticket, None) is not None:
             self._apply(self._queue.cancel(ticket))
-            self._arm_timer()
+            self._ask_wakeup()
 
     def announced(self, announcement: Announcement) -> None:
         """Take over what the target says of itself."""
@@ -169,7 +157,7 @@
         self._enter(announcement.state)
         self._refresh_slots()
         self._apply(self._queue.poll())
-        self._arm_timer()
+        self._ask_wakeup()
 
     def port_refused(self) -> None:
         """Take over that the target's port refused a connection."""
@@ -179,7 +167,7 @@
         self._lose("its port refuses")
 
     def poll(self) -> None:
-        """Refuse expired calls and notice a silent target; called by the timer."""
+        """Refuse expired calls and notice a silent target; called at wakeups."""
         now = self._clock.now()
         if (
             self.state is not TargetState.GONE
@@ -189,7 +177,7 @@
         self._refresh_slots()
         self._apply(self._queue.poll())
         self._publish()
-        self._arm_timer()
+        self._ask_wakeup()
 
     def load_report(self) -> LoadReport:
         """Return the load to carry on an answer."""
@@ -244,7 +232,7 @@
         measured = outcome is CallOutcome.ANSWERED
         self._apply(self._queue.finish(permit.ticket, measured=measured))
         self._refresh_slots()
-        self._arm_timer()
+        self._ask_wakeup()
         self._wake_idle_waiters()
 
     def _judge_process(
@@ -354,25 +342,12 @@
         invariants.check("host_refusal_not_run", refusal.executed is Executed.NO)
         metrics.HOST_REFUSED.labels(refusal.reason.value).inc()
 
-    def _arm_timer(self) -> None:
+    def _ask_wakeup(self) -> None:
         expiry = self._queue.next_expiry()
-        due = float("inf") if expiry is None else expiry
+        if expiry is not None:
+            self._wakeup.ask(expiry)
         if self.state is not TargetState.GONE:
-            due = min(due, self._last_announced + SILENCE_SECONDS)
-        if due == float("inf"):
-            return
-        # A timer that fires early re-arms itself; only an earlier one is replaced.
-        if self._timer is not None and self._timer_due <= due:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_due = due
-        delay = max(MIN_TIMER_DELAY, due - self._clock.now())
-        self._timer = self._call_later(delay, self._on_timer)
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        self.poll()
+            self._wakeup.ask(self._last_announced + SILENCE_SECONDS)
 
     def _wake_idle_waiters(self) -> None:
         if self._permit_by_ticket:
--- a/src/cassiasail/_internal/coordination/quarantine.py
+++ b/src/cassiasail/_internal/coordination/quarantine.py
@@ -164,9 +164,9 @@
         """Lift the strikes of a request that a target has answered.
 
         Strikes of deaths with a single call in flight stay until it was answered
-        several times, because nothing else explains them. A quarantine stays,
-        except one concluded from a single moment while
-        that moment lasts: a popular request is then still answered by other targets.
+        several times, because nothing else explains them. A quarantine stays, except
+        one concluded from a single moment while that moment lasts: a popular request
+        is then still answered by other targets.
         """
         deaths = self._deaths_by_fingerprint.get(fingerprint)
         if not deaths or fingerprint in self._until_by_fingerprint:
