Judge new strikes after a short quarantine has expired

An expired verdict stayed in the table behind a longer one and hid later strikes, so a poisonous request went on. Verdicts are now compared with the time before they are used. The new test failed before the change.

pytest: 45 passed.

--- a/src/cassiasail/_internal/coordination/quarantine.py
+++ b/src/cassiasail/_internal/coordination/quarantine.py
@@ -138,9 +138,7 @@
             return None
         now = self._clock.now()
         self._expire(now)
-        until = self._until_by_fingerprint.get(fingerprint)
-        if until is None:
-            until = self._judge(fingerprint, now)
+        until = self._verdict(fingerprint, now) or self._judge(fingerprint, now)
         if until is not None and now < until:
             return _refusal(RefusalReason.QUARANTINED, until - now)
         deaths = self._deaths_by_fingerprint.get(fingerprint)
@@ -169,7 +167,7 @@
         is then still answered by other targets.
         """
         deaths = self._deaths_by_fingerprint.get(fingerprint)
-        if not deaths or fingerprint in self._until_by_fingerprint:
+        if not deaths or self._verdict(fingerprint, self._clock.now()) is not None:
             return
         if returned_and_killed(self._moments(fingerprint, deaths)):
             return
@@ -214,6 +212,7 @@
         return {
             fingerprint: until - now
             for fingerprint, until in self._until_by_fingerprint.items()
+            if now < until
         }
 
     def _record(self, notice: DeathNotice) -> bool:
@@ -282,6 +281,14 @@
             self._deaths_by_fingerprint.pop(fingerprint, None)
             self._answers_by_fingerprint.pop(fingerprint, None)
 
+    def _verdict(self, fingerprint: Fingerprint, now: float) -> float | None:
+        """Return until when the fingerprint is quarantined by a kept verdict.
+
+        Expired verdicts may still be held behind longer ones.
+        """
+        until = self._until_by_fingerprint.get(fingerprint)
+        return until if until is not None and now < until else None
+
     def _judge(self, fingerprint: Fingerprint, now: float) -> float | None:
         """Return until when the strikes quarantine the fingerprint, if they do.
 
@@ -306,6 +313,7 @@
 
     def _commit(self, fingerprint: Fingerprint, until: float) -> None:
         self._until_by_fingerprint[fingerprint] = until
+        self._until_by_fingerprint.move_to_end(fingerprint)
         metrics.FINGERPRINTS_QUARANTINED.inc()
         while len(self._until_by_fingerprint) > MAX_QUARANTINED:
             self._until_by_fingerprint.popitem(last=False)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -210,3 +210,22 @@
     assert len(model.lost_by_fingerprint[POISON]) == 2
     assert poison.sent >= 35
     assert answered >= 0.99 * len(late)
+
+
+def test_short_quarantine_behind_a_longer_one_does_not_shield_a_poison() -> None:
+    """Guards against an expired verdict that hides new strikes."""
+    daemon = Daemon()
+    for target in ("a", "b"):
+        daemon.death(target, b"long")
+        daemon.clock.advance(2.0)
+        daemon.reason(b"long")
+    for index in range(3):
+        daemon.death(f"t{index}", POISON, b"own-%d" % index)
+    daemon.clock.advance(1.0)
+    assert daemon.reason(POISON) is RefusalReason.QUARANTINED
+    daemon.clock.advance(30.0)
+    assert daemon.reason(POISON) is None
+    daemon.death("t9", POISON, VIEW)
+    daemon.clock.advance(5.0)
+    assert daemon.reason(POISON) is RefusalReason.QUARANTINED
+    assert set(daemon.quarantine.quarantined()) == {b"long", POISON}
