--- a/src/cassiasail/_internal/state/queues.py
+++ b/src/cassiasail/_internal/state/queues.py
@@ -15,13 +15,13 @@
 
 import heapq
 import math
-from dataclasses import dataclass
 from typing import NamedTuple
 
 from .. import invariants
 from ..clock import Clock
 from .fair_queue import Entry, FairQueue, QueuedCall
 from .guarantees import GUARANTEED_SHARE, GuaranteedShares
+from .in_flight import InFlight
 from .lists import CallClass
 from .refusals import Executed, Refusal, RefusalReason
 from .service_times import ClassLoad, ServiceTimes
@@ -47,16 +47,6 @@
     refusal: Refusal | None
 
 
-@dataclass(slots=True, eq=False)
-class Running:
-    """A call that holds a slot."""
-
-    call: QueuedCall
-    cost: float
-    since: float
-    guaranteed: bool
-
-
 class AdmissionQueue:
     """Slots and waiting calls of one target."""
 
@@ -64,7 +54,6 @@
         self, *, clock: Clock, slots: int, capacity: int | None = None
     ) -> None:
         self.slots = slots
-        self.draining = False
         self.times = ServiceTimes()
         self._capacity = capacity
         self._clock = clock
@@ -72,9 +61,7 @@
         self._queue_by_class = {each: FairQueue() for each in CLASSES}
         self._guarantees = GuaranteedShares(self._queue_by_class)
         self._entry_by_ticket: dict[int, Entry] = {}
-        self._running_by_ticket: dict[int, Running] = {}
-        self._running_by_class = dict.fromkeys(CLASSES, 0)
-        self._running_cost = 0.0
+        self._in_flight = InFlight()
         self._expiries: list[tuple[float, int]] = []
         self._last_ticket = 0
         self._last_urgent = -math.inf
@@ -87,7 +74,7 @@
     @property
     def in_flight(self) -> int:
         """Number of calls that hold a slot."""
-        return len(self._running_by_ticket)
+        return len(self._in_flight)
 
     @property
     def capacity(self) -> int:
@@ -105,7 +92,9 @@
         if call.call_class is not CallClass.BULK:
             self._last_urgent = now
         cost = self.times.expected(call.route, call.call_class)
-        refusal = self._refusal_of(call, cost, now) or self._make_room(call, decisions)
+        refusal = self._refusal_of(call, cost, now)
+        if refusal is None and not self._has_slot_for(call.call_class, now):
+            refusal = self._make_room(call, decisions)
         if refusal is not None:
             decisions.append(Decision(ticket, refusal))
             return ticket, decisions
@@ -129,7 +118,7 @@
         entry = self._entry_by_ticket.get(ticket)
         if entry is not None:
             self._take_out(entry)
-        elif ticket in self._running_by_ticket:
+        elif ticket in self._in_flight:
             self._release(ticket, now, measured=False)
         return self._expire(now) + self._dispatch(now)
 
@@ -168,7 +157,7 @@
             return 0.0
         slots = max(self.slots, 1)
         rate = float(slots)
-        before = self._running_cost / 2  # calls in flight are half done on average
+        before = 0.0
         for higher in CLASSES[: CLASSES.index(call_class)]:
             before += self._queue_by_class[higher].work
             rate -= self._load.slots(higher, now)
@@ -179,11 +168,15 @@
         queue = self._queue_by_class[call_class]
         customer = call.customer if call else None
         cost = self.times.expected(call.route, call_class) if call else 0.0
-        return before / slots + queue.work_before(customer, cost) / rate
+        wait = before / slots + queue.work_before(customer, cost) / rate
+        held, seconds = self._in_flight.held_below(call_class)
+        if held:
+            # Until the lower classes end, only the other slots serve this class.
+            left = max(rate - held, rate / slots)
+            wait = min(wait * rate / left, wait + seconds)
+        return self._in_flight.next_end(call_class) + wait
 
     def _refusal_of(self, call: QueuedCall, cost: float, now: float) -> Refusal | None:
-        if self.draining:
-            return _refusal(RefusalReason.DRAINING)
         remaining = call.deadline - now
         if remaining <= 0:
             return _refusal(RefusalReason.DEADLINE_EXCEEDED)
@@ -244,21 +237,20 @@
         return call_class is not CallClass.BULK or self._bulk_may_start(now)
 
     def _bulk_may_start(self, now: float) -> bool:
-        return self._running_by_class[CallClass.BULK] < self._bulk_slots(now)
+        return self._in_flight.count_by_class[CallClass.BULK] < self._bulk_slots(now)
 
     def _bulk_slots(self, now: float) -> int:
         """Return how many slots bulk may hold.
 
-        Long bulk calls cannot be interrupted, so the slots that the other classes
-        need stay free of them: their mean use plus its square root, the usual
-        allowance for random arrivals. Without other calls bulk may use all slots.
+        Long bulk calls cannot be interrupted, so the mean number of slots that the
+        other classes use stays free of them. Without other calls bulk may use all
+        slots, and it always has one.
         """
         if self.slots < 2 or now - self._last_urgent > RESERVE_SECONDS:
             return self.slots
         used = self._load.slots(CallClass.ORDER, now)
         used += self._load.slots(CallClass.LOOKUP, now)
-        reserve = max(1, math.ceil(used + math.sqrt(used)))
-        return max(1, self.slots - reserve)
+        return max(1, self.slots - max(1, math.ceil(used)))
 
     def _dispatch(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
@@ -305,21 +297,13 @@
         call = entry.call
         invariants.check("slots_exact", self.in_flight < self.slots, str(self.slots))
         invariants.check("dispatch_before_deadline", now < call.deadline)
-        self._running_by_ticket[entry.ticket] = Running(
-            call, entry.cost, now, guaranteed
-        )
-        self._running_by_class[call.call_class] += 1
-        self._running_cost += entry.cost
+        self._in_flight.start(entry, now, guaranteed=guaranteed)
         self._load.started(call.call_class, entry.cost, now)
         self._guarantees.started(call.call_class, entry.cost, guaranteed=guaranteed)
 
     def _release(self, ticket: int, now: float, *, measured: bool) -> None:
-        running = self._running_by_ticket.pop(ticket)
+        running = self._in_flight.end(ticket)
         call, elapsed = running.call, now - running.since
-        self._running_by_class[call.call_class] -= 1
-        self._running_cost -= running.cost
-        if not self._running_by_ticket:
-            self._running_cost = 0.0  # rounding errors must not accumulate
         excess = elapsed - running.cost
         # A call that was cut off took at least this long.
         if measured or excess > 0:
