--- /dev/null
+++ b/devtools/bench_balancing.py
@@ -0,0 +1,237 @@
+"""Choice of target, retries and hedging on virtual time, beside simpler ways.
+
+``python -m devtools.bench_balancing [--json] [--seconds S] [--seed N]``. All figures
+but the microseconds of ``choose()`` are of a model and do not depend on the machine.
+"""
+
+import argparse
+import json
+import time
+from collections import Counter
+from dataclasses import asdict, dataclass
+from random import Random
+from typing import Any
+
+import xxhash
+
+from devtools.balancing_model import (
+    MEAN_SERVICE,
+    NONE,
+    SLOTS,
+    Model,
+    Sample,
+)
+from devtools.chain_model import measure_chain
+
+KINDS = ["normal"] * 9 + ["slow", "lying", "cold"]
+ENTRIES = 8
+LOAD = 0.6  # of the capacity of the normal targets
+STRATEGIES = ("round_robin", "random", "balancer")
+# Fleet of the design: daemons, services, targets of a service, connections.
+DAEMONS, SERVICES, CONNECTIONS = 2800, 130, 130
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BalancingResult:
+    """One strategy: latencies in milliseconds, refusals as a share of calls."""
+
+    strategy: str
+    calls: int
+    p50_ms: float
+    p99_ms: float
+    refused: float
+    share_by_kind: dict[str, float]
+
+
+def capacity(normal: int) -> float:
+    """Return the calls per second that normal targets can run."""
+    return normal * SLOTS / MEAN_SERVICE
+
+
+def measure_balancing(strategy: str, *, seconds: float, seed: int) -> BalancingResult:
+    """Measure one strategy with one slow, one lying and one cold target."""
+    model = Model(strategy=strategy, kinds=KINDS, entries=ENTRIES, seed=seed)
+    rate = LOAD * capacity(KINDS.count("normal"))
+    sample = model.run(rate=rate, seconds=seconds)
+    total = sample.calls_by_kind.total()
+    return BalancingResult(
+        strategy=strategy,
+        calls=sample.calls,
+        p50_ms=sample.percentile_ms(0.5),
+        p99_ms=sample.percentile_ms(0.99),
+        refused=sample.refused / sample.calls,
+        share_by_kind={kind: n / total for kind, n in sample.calls_by_kind.items()},
+    )
+
+
+def measure_hedging(*, seconds: float, seed: int) -> list[dict[str, Any]]:
+    """Compare lookups with and without a second sending after the 95th percentile.
+
+    ``cause`` tells what a long service time is due to: the ``run``, so that the
+    second sending is drawn anew, or the ``call``, so that it takes as long again.
+    """
+    rows = []
+    for cause in ("run", "call"):
+        for kinds in (["normal"] * 12, ["normal"] * 11 + ["slow"]):
+            for load in (0.3, 0.6, 0.9):
+                rows.append(_hedging_row(cause, kinds, load, seconds, seed))
+    return rows
+
+
+def _hedging_row(
+    cause: str, kinds: list[str], load: float, seconds: float, seed: int
+) -> dict[str, Any]:
+    plain = _lookups(kinds, load, seconds, seed, cause, hedge_after=None)
+    after = plain.percentile_ms(0.95) / 1000
+    hedged = _lookups(kinds, load, seconds, seed, cause, hedge_after=after)
+    more = hedged.dispatches / hedged.calls - plain.dispatches / plain.calls
+    return {
+        "cause": cause,
+        "targets": "one slow" if "slow" in kinds else "normal",
+        "load": load,
+        "p50_ms": plain.percentile_ms(0.5),
+        "hedged_p50_ms": hedged.percentile_ms(0.5),
+        "p99_ms": plain.percentile_ms(0.99),
+        "hedged_p99_ms": hedged.percentile_ms(0.99),
+        "more_sent": more,
+        # Every layer of a chain sends that much more, so the leaf gets the power.
+        "leaf_of_20": (1 + more) ** 20,
+    }
+
+
+def _lookups(
+    kinds: list[str],
+    load: float,
+    seconds: float,
+    seed: int,
+    cause: str,
+    *,
+    hedge_after: float | None,
+) -> Sample:
+    model = Model(strategy="balancer", kinds=kinds, entries=ENTRIES, seed=seed)
+    model.hedge_after = hedge_after
+    model.time_is_of_call = cause == "call"
+    return model.run(rate=load * capacity(kinds.count("normal")), seconds=seconds)
+
+
+def measure_chains(*, seconds: float, seed: int) -> list[dict[str, Any]]:
+    """Measure the calls at the failing leaf of a 20-deep chain, per outside call."""
+    cases = (
+        ("no retries", True, True, 1),
+        ("retries in every layer, no budget", False, False, 4),
+        ("budget, every layer retries", True, False, 4),
+        ("one layer retries, no budget", False, True, 4),
+        ("budget and one layer", True, True, 4),
+    )
+    rows = []
+    for name, budget, mark, tries in cases:
+        result = measure_chain(
+            budget=budget, mark=mark, rate=100, seconds=seconds, seed=seed, tries=tries
+        )
+        rows.append({"retries": name, **asdict(result), "x": result.amplification})
+    return rows
+
+
+def measure_subsets(*, seed: int) -> list[dict[str, Any]]:
+    """Compare the busiest target's load for subsets of 1 to 8 targets per daemon.
+
+    Each daemon's calls are dealt in 32 parts, each to the less loaded of two members
+    of its subset. Daemons differ in their rate (log-normal, sigma 1).
+    """
+    targets = DAEMONS // SERVICES
+    rng = Random(seed)
+    rates = [rng.lognormvariate(0.0, 1.0) for _ in range(DAEMONS)]
+    rows = []
+    for size in (1, 2, 4, 8):
+        load = [0.0] * targets
+        connections: Counter[int] = Counter()
+        for daemon, rate in enumerate(rates):
+            subset = sorted(
+                range(targets),
+                key=lambda target: xxhash.xxh64_intdigest(
+                    f"{daemon} {target}".encode()  # noqa: B023
+                ),
+            )[:size]
+            connections.update(subset)
+            for _ in range(32):
+                one, other = rng.choice(subset), rng.choice(subset)
+                load[one if load[one] <= load[other] else other] += rate
+        rows.append(
+            {
+                "subset": size,
+                "busiest_over_mean": max(load) * targets / sum(load),
+                "connections_per_target": max(connections.values()),
+                "allowed": CONNECTIONS,
+            }
+        )
+    return rows
+
+
+def measure_choose(*, seed: int) -> list[dict[str, Any]]:
+    """Time ``choose()`` on this machine, with calls in flight and reports."""
+    rows = []
+    for count in (4, 21, 200):
+        model = Model(
+            strategy="balancer", kinds=["normal"] * count, entries=1, seed=seed
+        )
+        model.run(rate=0.5 * capacity(min(count, 8)), seconds=0.5)
+        choose, rounds = model.entries[0].choose, 20_000
+        start = time.perf_counter()
+        for _ in range(rounds):
+            choose(NONE)
+        rows.append(
+            {
+                "targets": count,
+                "microseconds": (time.perf_counter() - start) / rounds * 1e6,
+            }
+        )
+    return rows
+
+
+def print_table(title: str, rows: list[dict[str, Any]]) -> None:
+    """Print rows of equal keys as a table."""
+    print(f"\n{title}")
+    names = list(rows[0])
+    cells = [names, *([_text(row[name]) for name in names] for row in rows)]
+    widths = [max(len(line[index]) for line in cells) for index in range(len(names))]
+    for line in cells:
+        print(
+            "  ".join(
+                cell.rjust(width) for cell, width in zip(line, widths, strict=True)
+            )
+        )
+
+
+def _text(value: Any) -> str:
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
+
+
+def main() -> None:
+    """Run all measurements and print them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    seconds, seed = options.seconds, options.seed
+    balancing = []
+    for strategy in STRATEGIES:
+        row = asdict(measure_balancing(strategy, seconds=seconds, seed=seed))
+        shares = row.pop("share_by_kind")
+        balancing.append({**row, **{f"to_{kind}": n for kind, n in shares.items()}})
+    tables = {
+        "balancing": balancing,
+        "chain": measure_chains(seconds=seconds, seed=seed),
+        "hedging": measure_hedging(seconds=seconds, seed=seed),
+        "subsets": measure_subsets(seed=seed),
+        "choose": measure_choose(seed=seed),
+    }
+    if options.json:
+        print(json.dumps(tables))
+        return
+    for title, rows in tables.items():
+        print_table(title, rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cassiasail/_internal/coordination/balancer.py
+++ b/src/cassiasail/_internal/coordination/balancer.py
@@ -46,6 +46,11 @@
 # 12 ms and paid bytes, so a queue as long as the slots comes first.
 SPILL_LOAD = {Place.DATA_CENTRE: 1.0, Place.REGION: 2.0, Place.ELSEWHERE: 1.0}
 
+# Looking a label up for each call would cost a tenth of the choice.
+_CHOSEN_BY_PLACE = {
+    place: metrics.TARGETS_CHOSEN.labels(place.name.lower()) for place in Place
+}
+
 
 class LinkBudget:
     """Bytes that this daemon may send and cause over the link between regions.
@@ -158,7 +163,7 @@
         place, score = chosen
         if place is Place.ELSEWHERE:
             self._link.charge(expected_bytes)
-        metrics.TARGETS_CHOSEN.labels(place.name.lower()).inc()
+        _CHOSEN_BY_PLACE[place].inc()
         return score.view
 
     def started(self, target: TargetView) -> None:
@@ -180,6 +185,25 @@
         if score is not None and score.in_flight > 0:
             score.finish(outcome, seconds, report, self._clock.now())
 
+    def subset(self, service: ServiceName) -> list[TargetView]:
+        """Return the targets that new calls are spread over, nearest first."""
+        state = self._service_by_name.get(service)
+        members = state.subset_by_place.values() if state else ()
+        return [score.view for scores in members for score in scores]
+
+    def ejected(self, service: ServiceName) -> int:
+        """Return how many targets of the service are ejected now."""
+        state = self._service_by_name.get(service)
+        now = self._clock.now()
+        ranked = state.ranked if state else ()
+        return sum(score.is_ejected(now) for _, score in ranked)
+
+    def place_of(self, view: TargetView) -> Place:
+        """Return how far a target is from this daemon."""
+        if view.data_centre == self._data_centre:
+            return Place.DATA_CENTRE
+        return Place.REGION if view.region == self._region else Place.ELSEWHERE
+
     def _choose_within_limits(
         self, state: _Service, exclude: frozenset[TargetId], now: float
     ) -> tuple[Place, TargetScore] | None:
@@ -262,19 +286,14 @@
             rank = xxhash.xxh64_intdigest(
                 f"{self._daemon} {service} {view.target_id}".encode()
             )
-            return self._place_of(view), view.daemon_id != self._daemon, rank
+            return self.place_of(view), view.daemon_id != self._daemon, rank
 
         usable = sorted((view for view in targets if view.is_usable), key=order)
         return [
-            (self._place_of(view), self._score_by_target[view.target_id])
+            (self.place_of(view), self._score_by_target[view.target_id])
             for view in usable
         ]
 
-    def _place_of(self, view: TargetView) -> Place:
-        if view.data_centre == self._data_centre:
-            return Place.DATA_CENTRE
-        return Place.REGION if view.region == self._region else Place.ELSEWHERE
-
     def _select_subset(self, state: _Service) -> None:
         now = self._clock.now()
         scores = [score for _, score in state.ranked]
--- /dev/null
+++ b/tests/unit/test_balancer.py
@@ -0,0 +1,96 @@
+"""The balancer chooses only what may be chosen, and finds out liars."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiasail._internal.state.targets import Outcome, TargetState
+from devtools.balancer_world import SERVICE, BalancerWorld
+from devtools.bench_balancing import measure_balancing
+
+
+class BalancerMachine(RuleBasedStateMachine):
+    """Guards against calls to targets that are gone, draining or out of reach."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = BalancerWorld(seed=1)
+
+    @rule(place=st.integers(0, 3), slots=st.sampled_from([1, 9]))
+    def add(self, place: int, slots: int) -> None:
+        self.world.add(place, slots)
+
+    @rule(
+        index=st.integers(0, 20),
+        state=st.sampled_from(TargetState),
+        reachable=st.booleans(),
+    )
+    def change(self, index: int, state: TargetState, reachable: bool) -> None:
+        self.world.change(index, state, reachable)
+
+    @rule(index=st.integers(0, 20))
+    def remove(self, index: int) -> None:
+        self.world.remove(index)
+
+    @rule(excluded=st.integers(0, 3), size=st.sampled_from([100, 200_000]))
+    def call(self, excluded: int, size: int) -> None:
+        self.world.call(excluded, size)
+
+    @rule(
+        outcome=st.sampled_from(Outcome),
+        seconds=st.sampled_from([0.001, 1.0]),
+        queued=st.sampled_from([None, 0, 50]),
+    )
+    def finish_all(self, outcome: Outcome, seconds: float, queued: int | None) -> None:
+        while self.world.in_flight:
+            self.world.finish(0, outcome, seconds, queued)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 30.0]))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @invariant()
+    def oracle_agrees(self) -> None:
+        self.world.check()
+
+
+BalancerMachine.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=50, deadline=None, derandomize=True
+)
+TestBalancer = BalancerMachine.TestCase
+
+
+def test_all_usable_targets_get_calls() -> None:
+    """Guards against a target that is starved for ever by its first measurement."""
+    world = BalancerWorld(seed=2)
+    for place in range(14):
+        world.add(place, 9)
+    world.call(0, 1)
+    world.finish(0, Outcome.FAILED, 5.0, 50)
+    world.check_all_used()
+
+
+def test_one_new_target_moves_at_most_one_member_of_the_subset() -> None:
+    """Guards against reconnecting to everything whenever an endpoint changes."""
+    world = BalancerWorld(seed=3)
+    for _ in range(40):
+        world.add(0, 9)
+        before = set(world.balancer.subset(SERVICE))
+        world.add(0, 9)
+        after = set(world.balancer.subset(SERVICE))
+        assert len(after) >= len(before)
+        assert len(before - after) <= 1
+
+
+def test_lying_and_slow_targets_lose_to_measurements() -> None:
+    """Guards against trust in reported load: liars report free slots."""
+    results = {
+        name: measure_balancing(name, seconds=5.0, seed=5)
+        for name in ("round_robin", "balancer")
+    }
+    share = results["balancer"].share_by_kind
+    fair = 1 / 12
+    assert share["lying"] < fair / 4
+    assert share["slow"] < fair / 2
+    assert results["balancer"].p99_ms < results["round_robin"].p99_ms / 2
+    assert results["balancer"].refused < results["round_robin"].refused / 4
--- /dev/null
+++ b/tests/unit/test_retries.py
@@ -0,0 +1,70 @@
+"""Retries stay within deadline, budget and one layer."""
+
+from collections import Counter
+
+import pytest
+
+from cassiasail._internal.coordination.retries import (
+    MAX_DEPTH,
+    CallLimits,
+    parse_limits,
+)
+from cassiasail._internal.state.refusals import Refusal, RefusalReason
+from devtools.bench_balancing import measure_chain
+from devtools.retries_world import run_retries
+
+
+def test_rules_and_amplification_hold_on_random_calls() -> None:
+    """Guards against retry storms, and retries of calls that may have run."""
+    seen: Counter[str] = Counter()
+    for seed in range(5):
+        seen.update(run_retries(seed, steps=8000))
+    denials = ("may_have_run", "already_retried", "tries", "deadline")
+    budgets = ("service_budget", "customer_budget")
+    assert all(seen[name] > 10 for name in ("retried", *denials, *budgets))
+
+
+def test_failing_leaf_of_a_deep_chain_is_not_amplified() -> None:
+    """Guards against every layer of a chain retrying the failure of the last one."""
+    with_budget = measure_chain(budget=True, mark=True, rate=100, seconds=12.0, seed=1)
+    # 10% of the calls, 3 retries a second, and the burst of the minimum.
+    assert with_budget.leaf_calls <= 1.1 * with_budget.top_calls + 3 * 13
+
+
+@pytest.mark.parametrize(
+    ("deadline", "attempt", "depth", "reason"),
+    [
+        ("1e3", None, None, RefusalReason.MALFORMED),
+        ("-1", None, None, RefusalReason.MALFORMED),
+        ("٣", None, None, RefusalReason.MALFORMED),
+        ("9" * 5000, None, None, RefusalReason.MALFORMED),
+        (None, "0", None, RefusalReason.MALFORMED),
+        (None, None, "", RefusalReason.MALFORMED),
+        (None, None, str(MAX_DEPTH + 1), RefusalReason.TOO_DEEP),
+        ("0", None, None, RefusalReason.DEADLINE_EXCEEDED),
+    ],
+)
+def test_bad_limits_are_refused(
+    deadline: str | None,
+    attempt: str | None,
+    depth: str | None,
+    reason: RefusalReason,
+) -> None:
+    """Guards against header values that int() would accept or choke on."""
+    limits = parse_limits(
+        deadline_ms=deadline, attempt=attempt, depth=depth, route_deadline=2, now=5
+    )
+    assert isinstance(limits, Refusal)
+    assert limits.reason is reason
+
+
+def test_limits_default_to_the_route_and_are_capped() -> None:
+    """Guards against a deadline longer than in-flight permits live."""
+    given = parse_limits(
+        deadline_ms="250", attempt="2", depth="20", route_deadline=2.0, now=100.0
+    )
+    assert given == CallLimits(deadline=100.25, attempt=2, depth=20)
+    default = parse_limits(
+        deadline_ms=None, attempt=None, depth=None, route_deadline=60.0, now=100.0
+    )
+    assert default == CallLimits(deadline=110.0, attempt=1, depth=0)
