--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cassiasail._internal.state.targets import Outcome, TargetState
-from devtools.balancer_world import SERVICE, BalancerWorld
+from devtools.balancer_world import SERVICE, BalancerWorld, run_balancer
 from devtools.bench_balancing import measure_balancing
 
 
@@ -94,3 +94,33 @@
     assert share["slow"] < fair / 2
     assert results["balancer"].p99_ms < results["round_robin"].p99_ms / 2
     assert results["balancer"].refused < results["round_robin"].refused / 4
+
+
+def test_ejection_leaves_half_even_when_each_is_worse_than_the_last() -> None:
+    """Guards against ejecting one target after the other until few are left."""
+    world = BalancerWorld(seed=4)
+    for _ in range(8):
+        world.add(0, 9)
+    order = list(world.view_by_id)
+    most = 0
+    for _ in range(40):
+        for _ in range(200):
+            world.call(0, 1)
+        while world.in_flight:
+            view = world.in_flight[0]
+            seconds = 0.002 * 8 ** order.index(view.target_id)
+            world.finish(0, Outcome.ANSWERED, seconds, None)
+        world.advance(1.0)
+        world.check()
+        most = max(most, world.balancer.ejected(SERVICE))
+    assert most == 4
+    # When the others leave, ejected ones are taken back.
+    for _ in range(5):
+        world.remove(0)
+        world.check()
+
+
+def test_long_run_reaches_every_case() -> None:
+    """Guards against a world that no longer exercises what it should check."""
+    seen = run_balancer(seed=1, steps=4000)
+    assert all(seen[name] > 10 for name in ("chosen", "ejected", "link_budget"))
