--- a/src/cassiasail/_internal/coordination/control.py
+++ b/src/cassiasail/_internal/coordination/control.py
@@ -176,7 +176,6 @@
         """Handle a new connection; ``address`` is what was dialed, None if accepted."""
         link = self._links.open(handle, address)
         if address is not None:
-            self._dialer.opened(address)
             self._send_hello(link, with_digests=False)
             return
         wait = self._admission.admit()
--- a/src/cassiasail/_internal/coordination/dialing.py
+++ b/src/cassiasail/_internal/coordination/dialing.py
@@ -34,18 +34,17 @@
         """Return whether the backoff of ``address`` is over."""
         return self._retry_at.get(address, 0.0) <= self._links.clock.now()
 
-    def opened(self, address: str) -> None:
-        """Record a connection; its peer may still answer Busy."""
-        self._started_at.pop(address, None)
-
     def greeted(self, address: str) -> None:
-        """Forget failures once the peer has said Hello."""
+        """End an attempt with success: the peer has said Hello.
+
+        An open connection alone is no success, because the peer may answer Busy.
+        """
+        self._started_at.pop(address, None)
         self._failures.pop(address, None)
         self._retry_at.pop(address, None)
 
     def failed(self, address: str) -> None:
         """Record a failed attempt and draw the time of the next."""
-        self._started_at.pop(address, None)
         failures = self._failures[address] = self._failures.get(address, 0) + 1
         ceiling = min(
             self._links.options.max_backoff, _FIRST_BACKOFF * 2 ** min(failures, 10)
@@ -53,7 +52,8 @@
         self.wait(address, self._links.rng.uniform(0, ceiling))
 
     def wait(self, address: str, seconds: float) -> None:
-        """Start no attempt for ``seconds``."""
+        """End an attempt and start no other for ``seconds``."""
+        self._started_at.pop(address, None)
         self._retry_at[address] = self._links.clock.now() + seconds
 
     def expired(self) -> list[str]:
--- a/src/cassiasail/_internal/coordination/store_tasks.py
+++ b/src/cassiasail/_internal/coordination/store_tasks.py
@@ -11,7 +11,7 @@
 from ..state import cborcodec, listcodec
 from ..state.lists import Delta, Snapshot
 from ..state.members import MemberTable
-from ..state.versions import AppliedVersion, RefusedVersion, VersionRefusal
+from ..state.versions import AppliedVersion, VersionRefusal
 from . import topology
 from .attachment import Attachment
 from .distribution import Distribution
@@ -24,6 +24,8 @@
 # A row or object that could not be read is tried again this often; an object that
 # the store does not show yet may appear.
 _RETRY_REFUSED = 5.0  # seconds
+# Versions looked at below a bad one.
+_OLDER_VERSIONS = 8
 # Another head may have rewritten the row; it is read again this often.
 _DIRECTORY_REREAD = 60.0  # seconds
 
@@ -69,50 +71,72 @@
         known_bad = row.value == self._refused_head
         if known_bad and now - self._refused_at < _RETRY_REFUSED:
             return
+        if not await self._try_head(row.value):
+            self._refused_head, self._refused_at = row.value, now
+            await self._try_older()
+
+    async def _try_head(self, value: object) -> bool:
+        """Bring the version of a row into force; return False if it is bad."""
         try:
-            head = listcodec.decode_head(row.value)
+            head = listcodec.decode_head(value)
         except ProtocolError as error:
             logging.error("row %s is malformed: %s", listcodec.HEAD_KEY, error)
-            self._refuse(self._next_version(), VersionRefusal.MALFORMED, row.value)
-            return
+            version = Version(self._distribution.lists.version + 1)
+            self._distribution.refuse_unread(version, VersionRefusal.MALFORMED)
+            return False
         held = self._distribution.lists
         if head.version < held.version:
-            return
+            return True
         if head.version == held.version:
             if head.digest != held.lists.digest:
-                self._refuse(head.version, VersionRefusal.DIGEST, row.value)
-            return
-        await self._fetch(head, row.value)
+                self._distribution.refuse_unread(head.version, VersionRefusal.DIGEST)
+            return head.digest == held.lists.digest
+        return await self._fetch(head)
+
+    async def _try_older(self) -> None:
+        """Bring the newest good version below a bad one into force.
 
-    def _next_version(self) -> Version:
-        return Version(self._distribution.lists.version + 1)
+        It was accepted, and may have been replaced before any poller saw it.
+        """
+        rows = await self._store.scan(
+            listcodec.VERSION_PREFIX, limit=_OLDER_VERSIONS, descending=True
+        )
+        if isinstance(rows, StoreFailure):
+            return
+        for key in sorted(rows, reverse=True):
+            try:
+                head = listcodec.decode_head(rows[key].value)
+            except ProtocolError:
+                continue
+            if head.version <= self._distribution.lists.version:
+                return
+            if await self._fetch(head):
+                return
 
-    async def _fetch(self, head: listcodec.HeadRow, raw: object) -> None:
+    async def _fetch(self, head: listcodec.HeadRow) -> bool:
+        """Read and offer one version; return False if it is bad."""
         delta = await self._read_object(head, head.delta, listcodec.decode_delta)
         if isinstance(delta, StoreFailure):
-            return
+            return True
         if isinstance(delta, Delta) and delta.base == self._distribution.lists.version:
             outcome = self._distribution.offer(delta)
             if isinstance(outcome, AppliedVersion):
-                return
+                return True
             if outcome.reason is VersionRefusal.CONTENT:
                 # The snapshot has the same content.
-                self._remember(raw)
-                return
+                return False
         snapshot = await self._read_object(
             head, head.snapshot, listcodec.decode_snapshot
         )
         if isinstance(snapshot, StoreFailure):
-            return
+            return True
         if isinstance(snapshot, VersionRefusal):
-            self._refuse(head.version, snapshot, raw)
-            return
+            self._distribution.refuse_unread(head.version, snapshot)
+            return False
         # While the objects were read, a peer may have brought this version.
         if head.version <= self._distribution.lists.version:
-            return
-        outcome = self._distribution.offer(snapshot)
-        if isinstance(outcome, RefusedVersion):
-            self._remember(raw)
+            return True
+        return isinstance(self._distribution.offer(snapshot), AppliedVersion)
 
     async def _read_object(
         self, head: listcodec.HeadRow, name: str, decode: Callable[[bytes], _Item]
@@ -131,14 +155,6 @@
             return VersionRefusal.DIGEST
         return found
 
-    def _refuse(self, version: Version, reason: VersionRefusal, raw: object) -> None:
-        self._remember(raw)
-        self._distribution.refuse_unread(version, reason)
-
-    def _remember(self, raw: object) -> None:
-        self._refused_head = raw
-        self._refused_at = self._links.clock.now()
-
 
 class Directory:
     """Keeps the contacts of the own data centre; reads them to join."""
--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -155,7 +155,8 @@
         self.slowest = max(self.slowest[0], versions), max(self.slowest[1], members)
         # Reparenting after the last repair, and the reports about it.
         self.net.run_for(12.0)
-        assert not self.net.disagreements()
+        found = self.net.disagreements()
+        assert not found, f"no longer converged: {found[:10]}"
         self.net.check_tree()
         self._check_notices()
         assert not invariants.failures_by_name
--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -5,6 +5,7 @@
 pauses, kills with and without notice, restarts, region cuts, store outages.
 """
 
+import functools
 import heapq
 import itertools
 import random
@@ -73,8 +74,11 @@
     async def scan(
         self, prefix: str, *, limit: int = 1000, descending: bool = False
     ) -> Any:
-        rows = {k: v for k, v in self._store.rows.items() if k.startswith(prefix)}
-        return self._failure() or rows
+        keys = sorted(
+            (key for key in self._store.rows if key.startswith(prefix)),
+            reverse=descending,
+        )
+        return self._failure() or {key: self._store.rows[key] for key in keys[:limit]}
 
     async def transact(self, conditions: Any, writes: Any) -> Any:
         if failure := self._failure():
@@ -289,6 +293,7 @@
         )
         value = listcodec.encode_head(head) if fault != "row" else {"version": "x"}
         self.store.put(listcodec.HEAD_KEY, value)
+        self.store.put(listcodec.version_key(version), value)
         self.committed[version] = new
         if fault:
             self.bad_versions.add(version)
@@ -378,7 +383,7 @@
         if self.repeat_after_reconnect:
             for left, right in ((mine, theirs), (theirs, mine)):
                 for data in self._recent.get((left.node.id, right.node.id), ()):
-                    self._transmit(left, data, delay=0.2)
+                    self._at(0.2, functools.partial(self._arrive, left, data))
 
     def _send(self, end: End, message: m.Message) -> None:
         data = m.encode(message)
@@ -393,8 +398,8 @@
             self._recent.setdefault(pair, deque(maxlen=3)).append(data)
         self._transmit(end, data)
 
-    def _transmit(self, end: End, data: bytes, *, delay: float = 0.0) -> None:
-        delay += self._delay(end.node, end.other.node)
+    def _transmit(self, end: End, data: bytes) -> None:
+        delay = self._delay(end.node, end.other.node)
         at = max(self.clock.now() + delay, end.next_delivery)
         end.next_delivery = at
         self._at(at - self.clock.now(), lambda: self._arrive(end, data))
@@ -471,7 +476,8 @@
                 found.append(f"{node.id} believes in {daemon}")
             for daemon, record in own.items():
                 if seen.get(daemon) != record:
-                    found.append(f"{node.id} lacks or has old {daemon}")
+                    held = node.control.table.get(daemon)
+                    found.append(f"{node.id} lacks {record} and holds {held}")
         return found
 
     def check_tree(self) -> None:
