--- a/src/cassiasail/_internal/coordination/attachment.py
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -246,7 +246,14 @@
         ]
         dead = [record.peer_addr for record in self._table.dead()]
         unknown = [seed for seed in self._seeds if seed not in known]
-        for addresses in (cut, dead, unknown):
+        # Without a parent that answers, anybody elsewhere may know a newer tree: the
+        # chosen parent may have died together with all who observed it.
+        others = [
+            record.peer_addr
+            for record in self._table.reachable()
+            if not self.is_root and record.data_centre != self._table.own.data_centre
+        ]
+        for addresses in (cut, dead, unknown, others):
             if addresses:
                 self._dialer.dial(self._links.rng.choice(addresses))
 
