--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -158,6 +158,7 @@
         self.count_by_type: Counter[str] = Counter()
         self.bytes_by_type: Counter[str] = Counter()
         self.region_bytes = 0
+        self.region_bytes_by_type: Counter[str] = Counter()
         self.dials = 0
         self.repeat_after_reconnect = False
         self._recent: dict[tuple[DaemonId, DaemonId], deque[bytes]] = {}
@@ -263,9 +264,11 @@
     def commit(self, *, fault: str = "") -> int:
         """Commit the next version; ``fault`` makes it a bad one."""
         version = max(self.committed, default=0) + 1
+        # Version 0 holds the lists that a bench starts from, if any.
         good = max((v for v in self.committed if v not in self.bad_versions), default=0)
         old = self.committed.get(version - 1, Lists())
-        rows = dict(self.committed[good].rows_by_key if good else {"plan/basic": {}})
+        rows = dict(self.committed[good].rows_by_key if self.committed else {})
+        rows["plan/basic"] = {}
         rows[f"customer/c{self.rng.randrange(40)}"] = {
             "plan": "basic",
             "contact": f"desk {version}",
@@ -395,6 +398,7 @@
         end.node.sent_bytes += len(data) + FRAME_BYTES
         if end.node.region != end.other.node.region:
             self.region_bytes += len(data) + FRAME_BYTES
+            self.region_bytes_by_type[name] += len(data) + FRAME_BYTES
         if self.repeat_after_reconnect and isinstance(message, m.Deltas | m.Members):
             pair = (end.node.id, end.other.node.id)
             self._recent.setdefault(pair, deque(maxlen=3)).append(data)
