--- a/devtools/bench_control.py
+++ b/devtools/bench_control.py
@@ -246,7 +246,7 @@
         f"decode, check, compile and apply a delta to {len(build_lists().rows_by_key)} "
         f"rows: {customer:.0f} us for a customer, {plan:.0f} us for a plan; decode and "
         f"merge a record: {per_record:.1f} us; {size:.0f} bytes in memory and "
-        f"{len(data) / len(table):.0f} on the wire per record in a table of {len(table)}"
+        f"{len(data) / len(table):.0f} on the wire per record of {len(table)}"
     )
 
 
--- a/src/cassiasail/_internal/state/routes.py
+++ b/src/cassiasail/_internal/state/routes.py
@@ -129,11 +129,8 @@
     """
     if any(split_key(key)[0] != "customer" for key in (*changed, *removed)):
         return None
-    faults = [
-        fault
-        for key in sorted(changed)
-        for fault in _row_faults(key, lists.rows_by_key)
-    ]
+    rows = lists.rows_by_key
+    faults = [fault for key in sorted(changed) for fault in _row_faults(key, rows)]
     if faults:
         return faults
     customers = dict(table.customer_by_id)
