--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -267,7 +267,7 @@
         # Version 0 holds the lists that a bench starts from, if any.
         good = max((v for v in self.committed if v not in self.bad_versions), default=0)
         old = self.committed.get(version - 1, Lists())
-        rows = dict(self.committed[good].rows_by_key if self.committed else {})
+        rows = dict(self.committed.get(good, Lists()).rows_by_key)
         rows["plan/basic"] = {}
         rows[f"customer/c{self.rng.randrange(40)}"] = {
             "plan": "basic",
