--- a/src/cassiasail/_internal/coordination/control.py
+++ b/src/cassiasail/_internal/coordination/control.py
@@ -176,7 +176,6 @@
         """Handle a new connection; ``address`` is what was dialed, None if accepted."""
         link = self._links.open(handle, address)
         if address is not None:
-            self._dialer.opened(address)
             self._send_hello(link, with_digests=False)
             return
         wait = self._admission.admit()
@@ -372,6 +371,7 @@
             self._suspicion.stop_audit()
         self._shed_child()
         self._notices.expire()
+        self._membership.expire()
         self._dialer.forget_old()
         limit = 2 * self.options.fan_out
         invariants.check("fan_out", self.children <= limit, str(self.children))
--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -5,6 +5,7 @@
 pauses, kills with and without notice, restarts, region cuts, store outages.
 """
 
+import functools
 import heapq
 import itertools
 import random
@@ -73,8 +74,11 @@
     async def scan(
         self, prefix: str, *, limit: int = 1000, descending: bool = False
     ) -> Any:
-        rows = {k: v for k, v in self._store.rows.items() if k.startswith(prefix)}
-        return self._failure() or rows
+        keys = sorted(
+            (key for key in self._store.rows if key.startswith(prefix)),
+            reverse=descending,
+        )
+        return self._failure() or {key: self._store.rows[key] for key in keys[:limit]}
 
     async def transact(self, conditions: Any, writes: Any) -> Any:
         if failure := self._failure():
@@ -154,6 +158,7 @@
         self.count_by_type: Counter[str] = Counter()
         self.bytes_by_type: Counter[str] = Counter()
         self.region_bytes = 0
+        self.region_bytes_by_type: Counter[str] = Counter()
         self.dials = 0
         self.repeat_after_reconnect = False
         self._recent: dict[tuple[DaemonId, DaemonId], deque[bytes]] = {}
@@ -221,6 +226,8 @@
         """Stop a daemon; with ``notice`` its peers see the connections close."""
         node.control = None
         node.inbox.clear()
+        # TCP never carries bytes of one process into a connection of its successor.
+        self._recent = {k: v for k, v in self._recent.items() if node.id not in k}
         for end in [end for end in self._ends if end.node is node]:
             self._ends.pop(end, None)
             end.open = False
@@ -257,9 +264,11 @@
     def commit(self, *, fault: str = "") -> int:
         """Commit the next version; ``fault`` makes it a bad one."""
         version = max(self.committed, default=0) + 1
+        # Version 0 holds the lists that a bench starts from, if any.
         good = max((v for v in self.committed if v not in self.bad_versions), default=0)
         old = self.committed.get(version - 1, Lists())
-        rows = dict(self.committed[good].rows_by_key if good else {"plan/basic": {}})
+        rows = dict(self.committed.get(good, Lists()).rows_by_key)
+        rows["plan/basic"] = {}
         rows[f"customer/c{self.rng.randrange(40)}"] = {
             "plan": "basic",
             "contact": f"desk {version}",
@@ -289,6 +298,7 @@
         )
         value = listcodec.encode_head(head) if fault != "row" else {"version": "x"}
         self.store.put(listcodec.HEAD_KEY, value)
+        self.store.put(listcodec.version_key(version), value)
         self.committed[version] = new
         if fault:
             self.bad_versions.add(version)
@@ -378,7 +388,7 @@
         if self.repeat_after_reconnect:
             for left, right in ((mine, theirs), (theirs, mine)):
                 for data in self._recent.get((left.node.id, right.node.id), ()):
-                    self._transmit(left, data, delay=0.2)
+                    self._at(0.2, functools.partial(self._arrive, left, data))
 
     def _send(self, end: End, message: m.Message) -> None:
         data = m.encode(message)
@@ -388,13 +398,14 @@
         end.node.sent_bytes += len(data) + FRAME_BYTES
         if end.node.region != end.other.node.region:
             self.region_bytes += len(data) + FRAME_BYTES
+            self.region_bytes_by_type[name] += len(data) + FRAME_BYTES
         if self.repeat_after_reconnect and isinstance(message, m.Deltas | m.Members):
             pair = (end.node.id, end.other.node.id)
             self._recent.setdefault(pair, deque(maxlen=3)).append(data)
         self._transmit(end, data)
 
-    def _transmit(self, end: End, data: bytes, *, delay: float = 0.0) -> None:
-        delay += self._delay(end.node, end.other.node)
+    def _transmit(self, end: End, data: bytes) -> None:
+        delay = self._delay(end.node, end.other.node)
         at = max(self.clock.now() + delay, end.next_delivery)
         end.next_delivery = at
         self._at(at - self.clock.now(), lambda: self._arrive(end, data))
@@ -471,7 +482,8 @@
                 found.append(f"{node.id} believes in {daemon}")
             for daemon, record in own.items():
                 if seen.get(daemon) != record:
-                    found.append(f"{node.id} lacks or has old {daemon}")
+                    held = node.control.table.get(daemon)
+                    found.append(f"{node.id} lacks {record} and holds {held}")
         return found
 
     def check_tree(self) -> None:
