Lift all strikes of a mass moment with an answer

A popular request that was alone on some targets of a lost rack kept those strikes and was quarantined for 10 min by the next rack loss.

--- a/src/cassiasail/_internal/coordination/quarantine.py
+++ b/src/cassiasail/_internal/coordination/quarantine.py
@@ -161,22 +161,24 @@
     def answered(self, fingerprint: Fingerprint) -> None:
         """Lift the strikes of a request that a target has answered.
 
-        Strikes of deaths with a single call in flight stay until it was answered
-        several times, because nothing else explains them. A quarantine stays, except
-        one concluded from a single moment while that moment lasts: a popular request
-        is then still answered by other targets.
+        Strikes of a single death with a single call in flight stay until it was
+        answered several times, because nothing else explains them. A quarantine
+        stays, except one concluded from a single moment while that moment lasts: a
+        popular request is then still answered by other targets.
         """
         deaths = self._deaths_by_fingerprint.get(fingerprint)
         if not deaths or self._verdict(fingerprint, self._clock.now()) is not None:
             return
-        if returned_and_killed(self._moments(fingerprint, deaths)):
+        moments = self._moments(fingerprint, deaths)
+        if returned_and_killed(moments):
             return
         answers = self._answers_by_fingerprint.get(fingerprint, 0) + 1
         self._answers_by_fingerprint[fingerprint] = answers
         liftable = tuple(
             (death.target, death.started)
-            for death in deaths
-            if len(death.fingerprints) > 1 or answers >= LIFT_ANSWERS
+            for moment in moments
+            for death in moment.deaths
+            if moment.mass or len(death.fingerprints) > 1 or answers >= LIFT_ANSWERS
         )
         notice = LiftNotice(fingerprint=fingerprint, deaths=liftable)
         if liftable and self._forget(notice):
--- a/src/cassiasail/_internal/coordination/strikes.py
+++ b/src/cassiasail/_internal/coordination/strikes.py
@@ -43,11 +43,12 @@
 class Moment:
     """Strikes on one fingerprint that are judged together, ordered by time.
 
-    ``explained`` if the fingerprint explains all deaths of the moment, ``weak`` if
-    the strikes say little about it.
+    ``mass`` if many targets died in the moment, ``explained`` if the fingerprint
+    explains all of its deaths, ``weak`` if the strikes say little about it.
     """
 
     deaths: list[Death]
+    mass: bool
     explained: bool
     weak: bool
 
@@ -87,6 +88,7 @@
     mass = len({death.target for death in dead}) >= MASS_TARGETS
     return Moment(
         deaths=struck,
+        mass=mass,
         explained=explained,
         weak=not explained and (mass or len(struck) > 1),
     )
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -1,6 +1,7 @@
 """Strikes, suspicion and quarantine of requests that kill targets."""
 
 import itertools
+from functools import partial
 
 import pytest
 
@@ -13,11 +14,12 @@
     fingerprint_of,
 )
 from cassiasail._internal.ids import CustomerId, TargetId
-from cassiasail._internal.state.refusals import RefusalReason
+from cassiasail._internal.state.refusals import Refusal, RefusalReason
 from devtools.hosting_model import HostingModel, PoisonCaller
 from tests.lib.clocks import VirtualClock
 
 POISON, VIEW, OUTLOOK = b"poison", b"view", b"outlook"
+BLOCKED = (RefusalReason.SUSPECTED, RefusalReason.QUARANTINED)
 
 
 class Daemon:
@@ -229,3 +231,27 @@
     daemon.clock.advance(5.0)
     assert daemon.reason(POISON) is RefusalReason.QUARANTINED
     assert set(daemon.quarantine.quarantined()) == {b"long", POISON}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_rack_losses_block_popular_requests_for_seconds_only(seed: int) -> None:
+    """Guards against views that polled on two lost racks and are then quarantined."""
+    model = HostingModel(seed=seed, hosts=20, slots=6)
+    blocked_at: list[float] = []
+    for tick in range(2400):
+        model.sim.run(0.005)
+        if tick in (600, 1600):
+            for host in model.random.sample(model.hosts, 8):
+                restart = model.random.uniform(3.0, 5.0)
+                delay = model.random.uniform(0.0, 0.3)
+                model.later(delay, partial(host.crash, restart))
+        host = model.random.choice([each for each in model.hosts if each.is_up])
+        fingerprint = b"view-%d" % model.random.randrange(3)
+        call = model.submit(host, fingerprint=fingerprint, service_seconds=0.3)
+        for result in call.results:
+            if isinstance(result, Refusal) and result.reason in BLOCKED:
+                blocked_at.append(model.sim.now() - 1000.0)
+    model.settle()
+    assert blocked_at, "the racks were lost without calls in flight"
+    for at in blocked_at:
+        assert 3.0 <= at <= 3.0 + 3.0 or 8.0 <= at <= 8.0 + 3.0, blocked_at
