Follow the relay tree to the root in status; check the shape of store answers

A leaf counts only itself, so status followed nobody above it; it now asks the parents, at most four levels up. A store answer of the wrong shape raised KeyError in a background task, which ended the daemon; it is a typed failure.

--- a/src/cassiasail/_internal/cli/commands/status.py
+++ b/src/cassiasail/_internal/cli/commands/status.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from ....exceptions import CommandError
-from ..daemons import DaemonAnswer
+from ..daemons import DaemonAnswer, ask_all, dig
 from ..exit_codes import ExitCode
 from ..invocation import Invocation
 from ..options import usage_error
@@ -17,6 +17,9 @@
     widest_view,
 )
 
+# Leaf, relay, data-centre head, region head, root.
+MAX_LEVELS = 4
+
 
 def run() -> Invocation:
     """Show the store, the daemons and the versions of the fleet.
@@ -33,8 +36,13 @@
         raise usage_error("neither store nor daemons are set; see --store, --daemons")
     store, store_line = await _store_status(session)
     answers = await session.ask_daemons("/status")
-    data = {"store": store, "daemons": [daemon_data(answer) for answer in answers]}
-    session.output.result(data, _lines(store_line, answers))
+    view = await _fleet_view(answers)
+    data = {
+        "store": store,
+        "daemons": [daemon_data(answer) for answer in answers],
+        "fleet_view": view,
+    }
+    session.output.result(data, _lines(store_line, answers, view))
     if store.get("reachable") is False:
         return ExitCode(store["exit_code"])
     if answers and all(answer.value is None for answer in answers):
@@ -42,6 +50,27 @@
     return ExitCode.OK
 
 
+async def _fleet_view(answers: list[DaemonAnswer]) -> dict[str, Any]:
+    """Return the widest view: that of an answer, or of a daemon above it.
+
+    A daemon counts the daemons below it in the relay tree; only the root, at most
+    four levels up, counts all.
+    """
+    values = [answer.value for answer in answers if answer.value is not None]
+    view = widest_view(values)
+    for _ in range(MAX_LEVELS):
+        address = dig(view, "parent_admin")
+        if not isinstance(address, str):
+            break
+        (answer,) = await ask_all([address], "/status")
+        if answer.value is None:
+            break
+        view = widest_view([view, answer.value])
+        if view is not answer.value:
+            break
+    return view
+
+
 async def _store_status(session: Session) -> tuple[dict[str, Any], str]:
     if not session.options.store:
         return {"reachable": None}, "store: not set"
@@ -56,7 +85,9 @@
     return data, line + head_line(head)
 
 
-def _lines(store_line: str, answers: list[DaemonAnswer]) -> Iterator[str]:
+def _lines(
+    store_line: str, answers: list[DaemonAnswer], view: dict[str, Any]
+) -> Iterator[str]:
     yield store_line
     if not answers:
         yield "daemons: none are set"
@@ -64,7 +95,7 @@
     yield ""
     yield from daemon_table(answers)
     values = [answer.value for answer in answers if answer.value is not None]
-    fleet = list(fleet_lines(widest_view(values)))
+    fleet = list(fleet_lines(view))
     if fleet:
         yield ""
         yield from fleet
--- a/src/cassiasail/_internal/status.py
+++ b/src/cassiasail/_internal/status.py
@@ -12,8 +12,8 @@
 from .transport.hosted_calls import HostedCalls
 from .transport.store_http import HttpStore
 
-# Without an answer for this long the store counts as unreachable; pollers ask twice
-# a second, other daemons hardly ever, so their view is shown with its age.
+# After this long an answer says nothing about the store; pollers ask twice a second,
+# other daemons hardly ever, so theirs is usually unknown.
 STORE_FRESH = 5.0  # seconds
 
 
@@ -32,6 +32,7 @@
     living = list(members.living())
     unreachable = [each for each in living if each.data_centre in members.unreachable]
     refused = versions.last_refusal
+    parent = members.get(fleet.parent) if fleet.parent else None
     return {
         "daemon": members.own.id,
         "region": members.own.region,
@@ -48,6 +49,7 @@
         },
         "scope": fleet.scope,
         "parent": fleet.parent,
+        "parent_admin": None if parent is None else parent.admin_addr,
         "children": fleet.children,
         "fleet": [
             {
@@ -94,8 +96,9 @@
 def _store_status(clock: Clock, store: HttpStore) -> dict[str, Any]:
     age = None if store.answered_at is None else clock.now() - store.answered_at
     failing = store.last_failure is not None
+    reachable = True if age is not None and age < STORE_FRESH else None
     return {
-        "reachable": None if age is None and not failing else not failing,
+        "reachable": False if failing else reachable,
         "last_answer_seconds": None if age is None else round(age, 3),
         "failure": store.last_failure.reason.value if store.last_failure else None,
     }
--- a/src/cassiasail/_internal/transport/store_http.py
+++ b/src/cassiasail/_internal/transport/store_http.py
@@ -48,7 +48,9 @@
         self._is_cut = is_cut
         self._timeout = aiohttp.ClientTimeout(total=timeout)
         self._rate = rate
-        self._tokens = 2 * rate
+        # At least one, or a low rate would never allow a request.
+        self._burst = max(1.0, 2 * rate)
+        self._tokens = self._burst
         self._refilled_at = clock.now()
         self._session: aiohttp.ClientSession | None = None
         # Time of the last request that got an answer, for the status page.
@@ -63,7 +65,8 @@
     async def read(
         self, keys: Sequence[str]
     ) -> Mapping[str, StoredRow | None] | StoreFailure:
-        answer = await self._post("read", "/table/read", {"keys": list(keys)})
+        body = {"keys": list(keys)}
+        answer = await self._post("read", "/table/read", body, {"rows": dict})
         if isinstance(answer, StoreFailure):
             return answer
         return {key: _row(answer["rows"].get(key)) for key in keys}
@@ -72,7 +75,7 @@
         self, prefix: str, *, limit: int = 1000, descending: bool = False
     ) -> Mapping[str, StoredRow] | StoreFailure:
         body = {"prefix": prefix, "limit": limit, "descending": descending}
-        answer = await self._post("scan", "/table/scan", body)
+        answer = await self._post("scan", "/table/scan", body, {"rows": dict})
         if isinstance(answer, StoreFailure):
             return answer
         found = ((key, _row(row)) for key, row in answer["rows"].items())
@@ -88,13 +91,16 @@
             ],
             "removes": [item.key for item in writes if isinstance(item, Remove)],
         }
-        answer = await self._post("transact", "/table/transact", body)
+        members = {"committed": bool}
+        answer = await self._post("transact", "/table/transact", body, members)
         if isinstance(answer, StoreFailure):
             return answer
-        if answer["committed"]:
-            return Committed(revision=answer["revision"])
-        rows = {key: _row(row) for key, row in answer["rows"].items()}
-        return Conflict(rows_by_key=rows)
+        revision, rows = answer.get("revision"), answer.get("rows")
+        if answer["committed"] and isinstance(revision, int):
+            return Committed(revision=revision)
+        if answer["committed"] or not isinstance(rows, dict):
+            return self._fail("transact", StoreFailureReason.MALFORMED, sent=True)
+        return Conflict(rows_by_key={key: _row(row) for key, row in rows.items()})
 
     async def get_object(self, name: str) -> bytes | None | StoreFailure:
         return await self._request("get_object", "GET", f"/objects/{name}", None)
@@ -103,15 +109,21 @@
         answer = await self._request("put_object", "PUT", f"/objects/{name}", data)
         return answer if isinstance(answer, StoreFailure) else None
 
-    async def _post(self, operation: str, path: str, body: Any) -> Any:
+    async def _post(
+        self, operation: str, path: str, body: Any, members: Mapping[str, type]
+    ) -> dict[str, Any] | StoreFailure:
+        """Return the answer if it is a map with ``members`` of the given types."""
         data = await self._request(operation, "POST", path, cbor2.dumps(body))
         if isinstance(data, StoreFailure):
             return data
+        answer: Any = None
         try:
             answer = cbor2.loads(data or b"")
         except (cbor2.CBORDecodeError, ValueError):
-            return self._fail(operation, StoreFailureReason.MALFORMED, sent=True)
-        if not isinstance(answer, dict):
+            pass
+        if not isinstance(answer, dict) or not all(
+            isinstance(answer.get(name), kind) for name, kind in members.items()
+        ):
             return self._fail(operation, StoreFailureReason.MALFORMED, sent=True)
         return answer
 
@@ -156,7 +168,7 @@
     def _take_token(self) -> bool:
         now = self._clock.now()
         gained = (now - self._refilled_at) * self._rate
-        self._tokens = min(2 * self._rate, self._tokens + gained)
+        self._tokens = min(self._burst, self._tokens + gained)
         self._refilled_at = now
         if self._tokens < 1:
             return False
@@ -179,4 +191,7 @@
 
 
 def _row(row: Any) -> StoredRow | None:
-    return None if row is None else StoredRow(value=row[0], revision=row[1])
+    match row:
+        case [value, int(revision)]:
+            return StoredRow(value=value, revision=revision)
+    return None
