--- a/src/cassiasail/_internal/runtime.py
+++ b/src/cassiasail/_internal/runtime.py
@@ -11,39 +11,33 @@
 from ..exceptions import ProtocolError
 from . import metrics
 from .clock import Clock, SystemClock
-from .coordination.claimed import ClaimStatus
 from .coordination.claims import Claims
 from .coordination.control import ControlPlane
-from .coordination.deathnotices import KIND, decode_notice, encode_notice
+from .coordination.deathnotices import QuarantineFlood
 from .coordination.links import ControlOptions
 from .coordination.owner_link import OwnerLink
 from .coordination.permits import EndpointChange, TargetState
-from .coordination.quarantine import Notice, Quarantine
+from .coordination.quarantine import Quarantine
 from .coordination.quota_exchange import QuotaExchange
 from .coordination.quota_service import QuotaService
 from .coordination.router import CallRouter
 from .coordination.shard_leases import ShardLeases
-from .coordination.strikes import QUARANTINE_SECONDS
+from .coordination.store import StoreFailure
 from .coordination.target_feed import TargetFeed
 from .ids import DaemonId, DataCentre, Region, TargetId
 from .protocol import messages
-from .protocol.quotas import (
-    QuotaAsk,
-    QuotaMessage,
-    QuotaReturn,
-    quota_message_from_wire,
-)
 from .settings import Settings
 from .state import listcodec
 from .state.lists import Allowance, Delta, Snapshot
 from .state.members import Endpoint, EndpointState, MemberRecord, MemberTable
 from .state.quotas import QuotaKey, ShardId
 from .state.versions import VersionedLists
-from .status import explain_page, status_page
+from .status import VersionTimes, explain_page, status_page
 from .transport.admin_http import AdminServer
 from .transport.dispatch import Dispatcher
 from .transport.entry_http import EntryServer
 from .transport.hosted_calls import HostedCalls
+from .transport.peer_requests import PeerRequests
 from .transport.peers import (
     CallPool,
     ControlLinks,
@@ -60,9 +54,8 @@
 TICK = 0.1  # seconds
 POLL_INTERVAL = 0.5  # seconds
 DIRECTORY_INTERVAL = 1.0  # seconds
-CLAIM_REQUEST = "claim-status"
-KEPT_VERSION_TIMES = 100
-ASK_TIMEOUT = 0.2  # seconds; a call waits no longer for its tokens
+# Pause before a daemon that is no head, or found the store failing, looks again.
+SWEEP_RETRY = 60.0  # seconds
 # Time in which callers are asked to connect elsewhere while the daemon leaves.
 HAND_OVER = 2.0  # seconds
 
@@ -75,7 +68,7 @@
         self.clock: Clock = SystemClock()
         self.rng = random.Random()
         self.versions = VersionedLists()
-        self.applied_at_by_version: dict[int, float] = {}
+        self.version_times = VersionTimes(versions=self.versions, clock=self.clock)
         self.me = DaemonId(settings.peer_address)
         incarnation = int(self.clock.wall() * 1000)
         self.members = MemberTable(own=_own_record(settings, self.me, incarnation))
@@ -92,7 +85,6 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._quota_run: asyncio.Task[None] | None = None
         self._listener: Server | None = None
-        self._receiving_notice = False
         self.stopping = asyncio.Event()
 
     async def start(self) -> None:
@@ -106,6 +98,7 @@
         self._every(TICK, self._tick)
         self._every(POLL_INTERVAL, self._poll_store)
         self._every(DIRECTORY_INTERVAL, self.control.maintain_directory_once)
+        self._spawn(self._sweep_claims())
         logging.info("daemon %s started", self.me)
 
     async def drain(self) -> None:
@@ -115,6 +108,7 @@
         self.entry.closing = True
         self.hosted.leave()
         await asyncio.sleep(HAND_OVER)
+        await self.entry.stop_listening()
         await self.leases.release()
         limit = self.settings.limits_max_deadline + HAND_OVER
         try:
@@ -167,9 +161,14 @@
         self.pool = CallPool(
             local=self.local,
             serve_call=lambda head, body: self.hosted.serve(head, body),
-            serve_request=self._serve_request,
+            serve_request=lambda payload: self.requests.serve(payload),
             report_for=lambda head: self.hosted.report_for(head),
         )
+        self.requests = PeerRequests(
+            pool=self.pool,
+            serve_quota=lambda message: self.quota_service.handle(message),
+            claim_status=lambda token: self.claims.status(token),
+        )
 
     def _build_control(self) -> None:
         self.control = ControlPlane(
@@ -184,9 +183,13 @@
             send=lambda link, message: self.links.send(link, messages.encode(message)),
             dial=self.links.dial,
             hang_up=self.links.hang_up,
-            on_notice=self._receive_notice,
+            on_notice=lambda *notice: self.flood.receive(*notice),
         )
-        self.quarantine = Quarantine(clock=self.clock, publish=self._publish_notice)
+        self.flood = QuarantineFlood(
+            publish=lambda **notice: self.control.publish_notice(**notice)
+        )
+        self.quarantine = Quarantine(clock=self.clock, publish=self.flood.publish)
+        self.flood.quarantine = self.quarantine
 
     def _build_quotas(self, incarnation: int) -> None:
         settings = self.settings
@@ -212,7 +215,7 @@
             me=self.me,
             shards=shards,
             leases=self.leases,
-            ask=self._ask,
+            ask=self.requests.ask,
             allowance_of=self._allowance_of,
             distance=self._distance,
             clock=self.clock,
@@ -229,7 +232,7 @@
                 members=self._members_here,
                 leases=self.leases,
                 service=self.quota_service,
-                ask=self._ask,
+                ask=self.requests.ask,
                 clock=self.clock,
             ),
             max_deadline=settings.limits_max_deadline,
@@ -252,7 +255,7 @@
             daemon=self.me,
             store=self.claim_store,
             clock=self.clock,
-            lookup=self._look_up_claim,
+            lookup=self.requests.look_up_claim,
         )
         self.targets = TargetFeed(
             members=self.members,
@@ -284,7 +287,7 @@
             ),
             offer=self._offer,
             is_ready=lambda: self.versions.version > 0 and not self.entry.closing,
-            json_pages={"/versions": self._applied_versions},
+            json_pages={"/versions": self.version_times.page},
             cut_link=self.region_link.set_cut if self.region_link.active else None,
         )
 
@@ -313,26 +316,23 @@
     async def _tick(self) -> None:
         self.control.tick()
         self.targets.tick()
-        self._note_version()
+        self.version_times.note()
         # The quotas may wait for the store; the control plane must not.
         if self._quota_run is None or self._quota_run.done():
             self._quota_run = self._spawn(self._run_quotas())
 
-    def _note_version(self) -> None:
-        version = self.versions.version
-        if version == 0 or version in self.applied_at_by_version:
-            return
-        self.applied_at_by_version[version] = self.clock.wall()
-        while len(self.applied_at_by_version) > KEPT_VERSION_TIMES:
-            del self.applied_at_by_version[min(self.applied_at_by_version)]
-
-    def _applied_versions(self) -> dict[str, Any]:
-        times = self.applied_at_by_version.items()
-        return {str(version): at for version, at in times}
-
     async def _poll_store(self) -> None:
         await self.control.poll_store_once()
-        self._note_version()
+        self.version_times.note()
+
+    async def _sweep_claims(self) -> None:
+        while True:
+            pause = SWEEP_RETRY
+            if self.control.attachment.is_head:
+                swept = await self.claims.sweep()
+                if not isinstance(swept, StoreFailure):
+                    pause = swept.pause
+            await asyncio.sleep(pause * self.rng.uniform(0.9, 1.1))
 
     async def _run_quotas(self) -> None:
         await self.leases.run_once()
@@ -349,29 +349,7 @@
             return
         if message is not None:
             self.control.receive(link, message)
-            self._note_version()
-
-    def _receive_notice(self, kind: str, payload: bytes, seconds_left: float) -> None:
-        if kind != KIND:
-            return
-        try:
-            notice = decode_notice(payload, age=QUARANTINE_SECONDS - seconds_left)
-        except ProtocolError as error:
-            metrics.MESSAGES_REFUSED.labels("malformed_notice").inc()
-            logging.warning("%s", error)
-            return
-        # The control plane floods notices; the quarantine must not do so again.
-        self._receiving_notice = True
-        try:
-            self.quarantine.receive(notice)
-        finally:
-            self._receiving_notice = False
-
-    def _publish_notice(self, notice: Notice) -> None:
-        if not self._receiving_notice:
-            self.control.publish_notice(
-                kind=KIND, payload=encode_notice(notice), ttl=QUARANTINE_SECONDS
-            )
+            self.version_times.note()
 
     def _publish_endpoint(self, change: EndpointChange) -> None:
         if change.state is TargetState.GONE:
@@ -408,40 +386,6 @@
             (customer.plan, service, path)
         )
 
-    async def _ask(self, owner: DaemonId, message: QuotaMessage) -> QuotaMessage | None:
-        connection = await self.pool.connection_to(owner)
-        if connection is None:
-            return None
-        reply = await connection.request(message.to_wire(), ASK_TIMEOUT)
-        if reply is None:
-            return None
-        try:
-            return quota_message_from_wire(reply)
-        except ProtocolError:
-            metrics.MESSAGES_REFUSED.labels("malformed_quota").inc()
-            return None
-
-    async def _look_up_claim(self, daemon: DaemonId, token: str) -> ClaimStatus:
-        connection = await self.pool.connection_to(daemon)
-        if connection is None:
-            return ClaimStatus.UNKNOWN
-        reply = await connection.request([CLAIM_REQUEST, token], ASK_TIMEOUT)
-        known = [status.value for status in ClaimStatus]
-        return ClaimStatus(reply) if reply in known else ClaimStatus.UNKNOWN
-
-    async def _serve_request(self, payload: Any) -> Any:
-        match payload:
-            case [str(kind), str(token)] if kind == CLAIM_REQUEST:
-                return self.claims.status(token).value
-        try:
-            message = quota_message_from_wire(payload)
-        except ProtocolError:
-            metrics.MESSAGES_REFUSED.labels("malformed_quota").inc()
-            return None
-        if not isinstance(message, QuotaAsk | QuotaReturn):
-            return None
-        return (await self.quota_service.handle(message)).to_wire()
-
     def _offer(self, data: bytes) -> None:
         item: Delta | Snapshot
         try:
@@ -449,7 +393,7 @@
         except ProtocolError:
             item = listcodec.decode_snapshot(data)
         self.control.offer(item)
-        self._note_version()
+        self.version_times.note()
 
     def _status(self) -> dict[str, Any]:
         return status_page(
--- a/src/cassiasail/_internal/status.py
+++ b/src/cassiasail/_internal/status.py
@@ -16,6 +16,32 @@
 # other daemons hardly ever, so theirs is usually unknown.
 STORE_FRESH = 5.0  # seconds
 
+KEPT_VERSION_TIMES = 100
+
+
+class VersionTimes:
+    """When this daemon put its latest versions in force, in wall time."""
+
+    def __init__(self, *, versions: VersionedLists, clock: Clock) -> None:
+        self._versions = versions
+        self._clock = clock
+        self._applied_at_by_version: dict[int, float] = {}
+
+    def note(self) -> None:
+        """Note the version in force; called after whatever may change it."""
+        version = self._versions.version
+        times = self._applied_at_by_version
+        if version == 0 or version in times:
+            return
+        times[version] = self._clock.wall()
+        while len(times) > KEPT_VERSION_TIMES:
+            del times[min(times)]
+
+    def page(self) -> dict[str, Any]:
+        """Return the times by version, for JSON."""
+        times = self._applied_at_by_version.items()
+        return {str(version): at for version, at in times}
+
 
 def status_page(
     *,
--- a/src/cassiasail/_internal/transport/entry_http.py
+++ b/src/cassiasail/_internal/transport/entry_http.py
@@ -62,6 +62,7 @@
         self._announce = announce
         self._max_body = max_body
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
         self.closing = False
 
     async def start(self, address: str) -> None:
@@ -77,7 +78,13 @@
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         host, _, port = address.partition(":")
-        await web.TCPSite(self._runner, host, int(port), backlog=1024).start()
+        self._site = web.TCPSite(self._runner, host, int(port), backlog=1024)
+        await self._site.start()
+
+    async def stop_listening(self) -> None:
+        """Accept no further connections; those that are open go on."""
+        if self._site is not None:
+            await self._site.stop()
 
     async def close(self) -> None:
         """Stop listening and wait for open connections to finish."""
