--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -1,5 +1,6 @@
 """The balancer chooses only what may be chosen, and finds out liars."""
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -124,3 +125,28 @@
     """Guards against a world that no longer exercises what it should check."""
     seen = run_balancer(seed=1, steps=4000)
     assert all(seen[name] > 10 for name in ("chosen", "ejected", "link_budget"))
+
+
+@pytest.mark.parametrize(("slowness", "refusals"), [(3.0, 0.0), (1.0, 0.2)])
+def test_mildly_bad_target_gets_less_without_ejection(
+    slowness: float, refusals: float
+) -> None:
+    """Guards against a bad target that stays below the limits of ejection."""
+    world = BalancerWorld(seed=7)
+    for _ in range(4):
+        world.add(0, 9)
+    bad = next(iter(world.view_by_id))
+    calls = 0
+    for _ in range(300):
+        for _ in range(8):
+            world.call(0, 1)
+        for view in list(world.in_flight):
+            calls += view.target_id == bad
+            refused = view.target_id == bad and world.rng.random() < refusals
+            outcome = Outcome.REFUSED if refused else Outcome.ANSWERED
+            seconds = 0.01 * (slowness if view.target_id == bad else 1.0)
+            # Nothing but its own measurements tells the daemon.
+            world.finish(0, outcome, seconds, None)
+        world.advance(0.1)
+    assert world.balancer.ejected(SERVICE) == 0
+    assert 0 < calls < 0.6 * 300 * 8 / 4
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -226,3 +226,21 @@
         assert not claimed.may_dispatch()
 
     asyncio.run(scenario())
+
+
+def test_cancelled_take_is_known_as_never_run() -> None:
+    """Guards against a key that looks in progress for ever after a cancellation."""
+    world = ClaimsWorld(seed=5)
+    claims = world.daemons[0].claims
+    key = ClaimKey(customer=CustomerId("c"), service=ServiceName("s"), key="k")
+
+    async def take() -> None:
+        await claims.take(key, BODY, deadline=world.loop.now() + 5)
+
+    world.store.delay_effects = 1
+    task = world.loop.spawn(take())
+    world.advance(0.2)
+    token = next(iter(claims._running))
+    assert claims.status(token) is ClaimStatus.RUNNING
+    world.loop.kill(task)
+    assert claims.status(token) is ClaimStatus.NEVER_RUN
