Let only the parent of a lost daemon go on probing it

All observers of a lost relay dialed it three times. Its children now dial once, move on and take the verdict from the links they have (after Spotnik by Wagenlaender and others: repair follows the number of failures and uses existing connections).

--- a/devtools/bench_control.py
+++ b/devtools/bench_control.py
@@ -141,6 +141,24 @@
     return total / CHANGES, crossed / CHANGES, slowest
 
 
+def measure_traffic(daemons: int, seed: int) -> str:
+    """Return bytes per change and idle bytes against the baselines."""
+    net = start_fleet(daemons, seed)
+    total, region, slowest = measure_changes(net)
+    mean, highest, region_idle = measure_idle(net)
+    base = baselines(net)
+    return (
+        f"{daemons:4} daemons: change {total:.0f} bytes ("
+        f"{total / base['push_total']:.4f} of push {base['push_total']:.0f}, "
+        f"{total / base['poll_change']:.2f} of poll {base['poll_change']:.0f}), "
+        f"across regions {region:.0f} "
+        f"({region / base['push_region']:.4f} of push {base['push_region']:.0f}), "
+        f"slowest {slowest:.2f} s; idle {mean:.0f} bytes/s per daemon, "
+        f"highest {highest:.0f}, across regions {region_idle:.0f}; poll idle "
+        f"{base['poll_idle']:.0f} and {base['poll_reads']:.0f} reads/s"
+    )
+
+
 def baselines(net: Network) -> dict[str, float]:
     """Return what polling and full push would cost in the present configuration.
 
@@ -168,7 +186,7 @@
     }
 
 
-def measure_repair(daemons: int, failures: int, seed: int) -> str:
+def measure_repair(daemons: int, failures: int, seed: int, *, notice: bool) -> str:
     """Return the messages that ``failures`` simultaneous losses cause."""
     net = start_fleet(daemons, seed)
     quiet = ("Ping", "Pong", "Heartbeats")
@@ -184,7 +202,7 @@
     idle = [b - a for a, b in zip(idle_from, repair(), strict=True)]
     start = repair()
     for node in random.Random(seed).sample(net.running, failures):
-        net.kill(node, notice=False)
+        net.kill(node, notice=notice)
     _, seconds = net.settle(30.0)
     net.run_for(window - seconds)
     spent = [b - a for a, b in zip(start, repair(), strict=True)]
@@ -192,7 +210,8 @@
     full = len(m.encode(m.Members(tuple(all_records(net)))))
     survivors = daemons - failures
     return (
-        f"{daemons:4} daemons, {failures:3} lost: {messages:6} messages "
+        f"{daemons:4} daemons, {failures:3} {'processes' if notice else 'VMs'} lost: "
+        f"{messages:6} messages "
         f"({messages / failures / survivors:5.2f} per failure and survivor), "
         f"{size:8} bytes, {dials:4} connections, {seconds:4.1f} s; "
         f"full table to every survivor: {full * survivors} bytes"
@@ -288,28 +307,27 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="*", default=list(SIZES))
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--parts",
+        nargs="*",
+        choices=("traffic", "repair", "processing"),
+        default=["traffic", "repair", "processing"],
+    )
     options = parser.parse_args()
     logging.set_verbosity(logging.FATAL)
-    for daemons in options.sizes:
-        net = start_fleet(daemons, options.seed)
-        total, region, slowest = measure_changes(net)
-        mean, highest, region_idle = measure_idle(net)
-        base = baselines(net)
-        print(
-            f"{daemons:4} daemons: change {total:.0f} bytes ("
-            f"{total / base['push_total']:.4f} of push {base['push_total']:.0f}, "
-            f"{total / base['poll_change']:.2f} of poll {base['poll_change']:.0f}), "
-            f"across regions {region:.0f} "
-            f"({region / base['push_region']:.4f} of push {base['push_region']:.0f}), "
-            f"slowest {slowest:.2f} s; idle {mean:.0f} bytes/s per daemon, "
-            f"highest {highest:.0f}, across regions {region_idle:.0f}; poll idle "
-            f"{base['poll_idle']:.0f} and {base['poll_reads']:.0f} reads/s",
-            flush=True,
-        )
-    for daemons in options.sizes[1:]:
-        for failures in (1, 4, round(0.3 * daemons)):
-            print(measure_repair(daemons, failures, options.seed), flush=True)
-    print(measure_processing())
+    if "traffic" in options.parts:
+        for daemons in options.sizes:
+            print(measure_traffic(daemons, options.seed), flush=True)
+    if "repair" in options.parts:
+        for daemons in options.sizes:
+            for failures in (1, 4, round(0.3 * daemons)):
+                for notice in (True, False):
+                    line = measure_repair(
+                        daemons, failures, options.seed, notice=notice
+                    )
+                    print(line, flush=True)
+    if "processing" in options.parts:
+        print(measure_processing())
 
 
 if __name__ == "__main__":
--- a/src/cassiasail/_internal/coordination/attachment.py
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -10,6 +10,9 @@
 from .links import LinkRole, Links, PeerLink
 from .suspicion import Suspicion
 
+# Rounds of healing between two attempts to reach a member believed dead.
+_DEAD_EVERY = 4
+
 
 class Attachment:
     """Chooses and keeps the parent; ``tree`` is the own view of the relay tree.
@@ -42,6 +45,7 @@
         self._contacts: list[str] = []
         self._lonely_since = links.clock.now()
         self._probed_at = -1e9
+        self._heal_round = 0
         self.tree = topology.build_tree([table.own], store_region=store_region)
         self.relays: tuple[DaemonId, ...] = ()
         table.on_change.append(self._on_member_change)
@@ -253,6 +257,11 @@
             for record in self._table.reachable()
             if not self.is_root and record.data_centre != self._table.own.data_centre
         ]
+        # The dead rarely return at their address; a split in which each side holds
+        # all of the other for dead is rarer still.
+        self._heal_round += 1
+        if self._heal_round % _DEAD_EVERY:
+            dead = []
         for addresses in (cut, dead, unknown, others):
             if addresses:
                 self._dialer.dial(self._links.rng.choice(addresses))
--- a/src/cassiasail/_internal/coordination/liveness.py
+++ b/src/cassiasail/_internal/coordination/liveness.py
@@ -68,8 +68,13 @@
         if record is not None and record.state is MemberState.LEAVING:
             self._membership.declare_dead(link.daemon, "it has left")
             return
-        first = 0.0 if link.role is LinkRole.PARENT else _PARENT_PROBES_AFTER
-        self._suspicion.suspect(link.daemon, first_probe_after=first)
+        if link.role is LinkRole.CHILD:
+            self._suspicion.suspect(link.daemon, first_probe_after=_PARENT_PROBES_AFTER)
+            return
+        # The children of a lost relay dial it once and move on; only its parent
+        # goes on probing. So the connections of a repair follow the number of
+        # losses and not the fan-out.
+        self._suspicion.suspect(link.daemon, once=True)
 
     def watch(self) -> None:
         """Ping quiet links, drop silent ones, close those no longer needed."""
--- a/src/cassiasail/_internal/coordination/suspicion.py
+++ b/src/cassiasail/_internal/coordination/suspicion.py
@@ -16,12 +16,14 @@
 from .membership import Membership
 
 _PROBE_EVERY = 1.0  # seconds
+_NEVER = 1e9  # seconds
 
 
 @dataclass(slots=True)
 class _Suspect:
     since: float
     next_probe_at: float
+    probe_every: float
     failed_probes: int = 0
 
 
@@ -43,8 +45,14 @@
         self._suspect_by_id: dict[DaemonId, _Suspect] = {}
         self._missing_since: dict[DaemonId, float] = {}
 
-    def suspect(self, daemon: DaemonId, *, first_probe_after: float = 0.0) -> None:
-        """Start to probe ``daemon`` unless it is dead or already suspected."""
+    def suspect(
+        self, daemon: DaemonId, *, first_probe_after: float = 0.0, once: bool = False
+    ) -> None:
+        """Start to probe ``daemon`` unless it is dead or already suspected.
+
+        With ``once`` there is a single probe: another daemon probes as well and its
+        verdict arrives over the links that exist.
+        """
         table = self._membership.table
         if daemon in self._suspect_by_id or daemon == table.own.id:
             return
@@ -54,7 +62,9 @@
         # Many daemons notice a loss in the same moment; their probes spread.
         jitter = self._links.rng.uniform(0.0, 0.1)
         self._suspect_by_id[daemon] = _Suspect(
-            since=now, next_probe_at=now + first_probe_after + jitter
+            since=now,
+            next_probe_at=now + first_probe_after + jitter,
+            probe_every=_NEVER if once else _PROBE_EVERY,
         )
 
     def contact(self, daemon: DaemonId) -> None:
@@ -98,7 +108,7 @@
                 self._membership.declare_dead(daemon, "it does not answer")
                 self._on_change()
             elif now >= suspect.next_probe_at:
-                suspect.next_probe_at = now + _PROBE_EVERY
+                suspect.next_probe_at = now + suspect.probe_every
                 self._dialer.dial(record.peer_addr)
 
     def audit(self) -> None:
--- a/src/cassiasail/_internal/state/members.py
+++ b/src/cassiasail/_internal/state/members.py
@@ -147,7 +147,10 @@
         held = self._record_by_id.get(daemon)
         if held is None or daemon == self.own.id or daemon in self._died_at_by_id:
             return None
-        dead = replace(held, state=MemberState.DEAD, endpoints=())
+        # The peer address stays: a split is healed by dialing those believed dead.
+        dead = replace(
+            held, state=MemberState.DEAD, endpoints=(), http_addr="", admin_addr=""
+        )
         self._store(dead, now=now)
         return dead
 
