--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -9,7 +9,8 @@
 from cassiasail._internal.state.lists import diff
 from cassiasail._internal.state.members import Endpoint, EndpointState
 
-from .network import Network, Node
+from .network import Network
+from .nodes import Node
 
 CENTRES = (
     ("kzn-coast", "kzn-a"),
