--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -88,6 +88,11 @@
         """Return the process id of ``daemon-NAME``, ``target-NAME`` or platform."""
         return self._process_by_name[name].pid
 
+    def is_running(self, name: str) -> bool:
+        """Return whether a process has been started and has not ended."""
+        process = self._process_by_name.get(name)
+        return process is not None and process.returncode is None
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process that this layout started."""
         process = self._process_by_name[name]
