--- a/tests/functional/promises/test_orders.py
+++ b/tests/functional/promises/test_orders.py
@@ -19,14 +19,16 @@
 RESEND_PAUSE = 0.3  # seconds
 
 
-async def orders_then_kill(fleet: Fleet, entry: Vm, keys: Sequence[str]) -> None:
-    async def one(place: int, key: str) -> Result:
+async def orders_then_kill(
+    fleet: Fleet, entry: Vm, killed: Vm, keys: Sequence[str]
+) -> None:
+    async def one(place: int, key: str) -> None:
         await asyncio.sleep(place * SPREAD / len(keys))
-        return await fleet.order(entry, key, Work_Ms=WORK_MS)
+        await fleet.order(entry, key, Work_Ms=WORK_MS)
 
     sent = [asyncio.create_task(one(*item)) for item in enumerate(keys)]
     await asyncio.sleep(SPREAD)
-    await fleet.kill(f"daemon-{entry.name}")
+    await fleet.kill(f"daemon-{killed.name}")
     await asyncio.gather(*sent)
 
 
@@ -43,17 +45,21 @@
             await asyncio.sleep(RESEND_PAUSE)
 
 
-@when(parsers.parse("{count:d} orders are under way through one daemon and it is killed"))
-def kill_entry(fleet: Fleet, seen: dict[str, Any], count: int) -> None:
+@when(parsers.parse("{count:d} orders are under way and {which} is killed"))
+def kill_on_the_way(
+    fleet: Fleet, seen: dict[str, Any], count: int, which: str
+) -> None:
     seen["keys"] = [fleet.new_key() for _ in range(count)]
-    # This one has no target for orders beside it, so no target loses its host.
-    seen["entry"] = next(vm for vm in fleet.vms if vm.service != "array-ctl")
-    fleet.run(orders_then_kill(fleet, seen["entry"], seen["keys"]))
+    host = next(vm for vm in fleet.vms if vm.service == "array-ctl")
+    other = next(vm for vm in fleet.vms if vm.service != "array-ctl")
+    entry = host if which == "a daemon that is entry and host" else other
+    seen["killed"] = other if which == "their entry daemon" else host
+    fleet.run(orders_then_kill(fleet, entry, seen["killed"], seen["keys"]))
 
 
 @when("each order is sent again through other daemons until its fate is told")
 def send_again(fleet: Fleet, seen: dict[str, Any]) -> None:
-    others = [vm for vm in fleet.vms if vm is not seen["entry"]]
+    others = [vm for vm in fleet.vms if vm is not seen["killed"]]
 
     async def all_keys() -> list[Result]:
         return await asyncio.gather(
@@ -63,16 +69,17 @@
     seen["results"] = fleet.run(all_keys())
 
 
-@when(parsers.parse("{count:d} orders are sent while the store loses {losses:d} answers"))
-def lose_answers(fleet: Fleet, seen: dict[str, Any], count: int, losses: int) -> None:
+@when(parsers.parse("{count:d} orders are sent and the store loses {losses}"))
+def lose_answers(fleet: Fleet, seen: dict[str, Any], count: int, losses: str) -> None:
     seen["keys"] = [fleet.new_key() for _ in range(count)]
+    lost = 1 if losses == "an answer for each" else 1000
 
     async def work() -> list[Result]:
-        await fleet.processes.faults(lose_answers=losses)
-        return [
-            await fleet.order(vm, key)
-            for vm, key in zip(fleet.vms, seen["keys"], strict=False)
-        ]
+        results = []
+        for vm, key in zip(fleet.vms, seen["keys"], strict=False):
+            await fleet.processes.faults(lose_answers=lost)
+            results.append(await fleet.order(vm, key))
+        return results
 
     seen["results"] = fleet.run(work())
 
@@ -92,7 +99,7 @@
 @when("the store is up and the orders are sent again")
 def store_up(fleet: Fleet, seen: dict[str, Any]) -> None:
     async def work() -> list[Result]:
-        await fleet.processes.faults(down=False)
+        await fleet.processes.faults(down=False, lose_answers=0)
         return await asyncio.gather(
             *(resend(fleet, key, fleet.vms) for key in seen["keys"])
         )
