--- a/tests/functional/promises/test_callers.py
+++ b/tests/functional/promises/test_callers.py
@@ -23,13 +23,13 @@
 
 
 @when(
-    parsers.parse("a caller gives up {count:d} calls through a daemon {place} their target")
+    parsers.parse(
+        "a caller gives up {count:d} calls through a daemon {place} their target"
+    )
 )
 def give_up(fleet: Fleet, seen: dict[str, Any], count: int, place: str) -> None:
     entry = next(
-        vm
-        for vm in fleet.vms
-        if (vm.service == "outlook-svc") == (place == "beside")
+        vm for vm in fleet.vms if (vm.service == "outlook-svc") == (place == "beside")
     )
 
     async def work() -> None:
--- a/tests/functional/promises/test_crash.py
+++ b/tests/functional/promises/test_crash.py
@@ -28,7 +28,9 @@
 
 
 @when(
-    parsers.parse("a request that crashes its target is sent every second for {time:d} s")
+    parsers.parse(
+        "a request that crashes its target is sent every second for {time:d} s"
+    )
 )
 def send_poison(fleet: Fleet, seen: dict[str, Any], time: int) -> None:
     seen["deaths"], seen["poison"] = [], []
@@ -52,7 +54,9 @@
 
 
 @then(
-    parsers.parse('the request is refused in the end as "{reason}", executed "{executed}"')
+    parsers.parse(
+        'the request is refused in the end as "{reason}", executed "{executed}"'
+    )
 )
 def refused_last(seen: dict[str, Any], reason: str, executed: str) -> None:
     last = seen["poison"][-1]
--- a/tests/functional/promises/test_orders.py
+++ b/tests/functional/promises/test_orders.py
@@ -46,9 +46,7 @@
 
 
 @when(parsers.parse("{count:d} orders are under way and {which} is killed"))
-def kill_on_the_way(
-    fleet: Fleet, seen: dict[str, Any], count: int, which: str
-) -> None:
+def kill_on_the_way(fleet: Fleet, seen: dict[str, Any], count: int, which: str) -> None:
     seen["keys"] = [fleet.new_key() for _ in range(count)]
     host = next(vm for vm in fleet.vms if vm.service == "array-ctl")
     other = next(vm for vm in fleet.vms if vm.service != "array-ctl")
