--- a/devtools/bench_calls.py
+++ b/devtools/bench_calls.py
@@ -1,8 +1,9 @@
 """Latency that the product adds to a call, and calls per second of one core.
 
-One run compares calls straight to a target, through the daemon beside the target
-(one daemon) and through another daemon (two daemons), interleaved so that noise of
-the machine meets all three alike.
+One run compares calls straight to a target, through a bare forwarder written with
+the same HTTP library, through the daemon beside the target (one daemon) and through
+another daemon (two daemons), interleaved so that noise of the machine meets all ways
+alike.
 """
 
 import argparse
@@ -20,6 +21,7 @@
 from .processes import LayoutProcesses
 from .quickstart import apply_lists, wait_for_version
 
+FORWARDER_PORT = 8081
 RATE = 64.0  # calls/s of one daemon at the size of the design
 TARGET_ADDED_MS = 0.58  # at most this much added for 99 calls in 100
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -108,6 +110,7 @@
     path = "/outlooks/bench"
     url_by_way = {
         "straight": f"http://{near.ip}:{TARGET_PORT}{path}",
+        "forwarder": f"http://{near.ip}:{FORWARDER_PORT}{path}",
         "one daemon": f"http://{near.http}/{near.service}{path}",
         "two daemons": f"http://{far.http}/{near.service}{path}",
     }
@@ -115,6 +118,7 @@
         await processes.start_platform()
         await asyncio.gather(*(processes.start_daemon(vm) for vm in layout.vms))
         await processes.start_target(near)
+        await processes.start_forwarder(near, FORWARDER_PORT)
         for vm in layout.vms:
             await processes.wait_for(f"http://{vm.admin}/healthz")
         await apply_lists(processes, _BENCH_CHANGES)
@@ -138,8 +142,13 @@
 
 def _daemon_pids(processes: LayoutProcesses, way: str) -> list[int]:
     near, far = processes.layout.vms
-    names = {"straight": [], "one daemon": [near], "two daemons": [near, far]}[way]
-    return [processes.pid(f"daemon-{vm.name}") for vm in names]
+    names_by_way = {
+        "straight": [],
+        "forwarder": ["forwarder"],
+        "one daemon": [f"daemon-{near.name}"],
+        "two daemons": [f"daemon-{near.name}", f"daemon-{far.name}"],
+    }
+    return [processes.pid(name) for name in names_by_way[way]]
 
 
 # A customer whose allowance does not bound the bench.
@@ -170,7 +179,7 @@
     print("16 callers without pause")
     for way, row in figures["saturation"].items():
         print(
-            f"  {way:12} {row['calls_per_second']:.0f} calls/s, daemons use "
+            f"  {way:12} {row['calls_per_second']:.0f} calls/s, the way uses "
             f"{row['core_ms_per_call']:.3f} core-ms a call, p50 {row['p50']:.2f} ms, "
             f"p99 {row['p99']:.2f} ms"
         )
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -84,6 +84,17 @@
             vm.http,
         )
 
+    async def start_forwarder(self, vm: Vm, port: int) -> None:
+        """Start the bare forwarder in front of the target of one VM."""
+        await self._spawn(
+            "forwarder",
+            "-m",
+            "devtools.forwarder",
+            f"--host={vm.ip}",
+            f"--port={port}",
+            f"--target={vm.ip}:{TARGET_PORT}",
+        )
+
     def pid(self, name: str) -> int:
         """Return the process id of ``daemon-NAME``, ``target-NAME`` or platform."""
         return self._process_by_name[name].pid
