--- a/src/cassiasail/_internal/runtime.py
+++ b/src/cassiasail/_internal/runtime.py
@@ -54,6 +54,8 @@
 TICK = 0.1  # seconds
 POLL_INTERVAL = 0.5  # seconds
 DIRECTORY_INTERVAL = 1.0  # seconds
+# Leases of quota shards last for an hour; a second decides nothing.
+LEASE_INTERVAL = 1.0  # seconds
 # Pause before a daemon that is no head, or found the store failing, looks again.
 SWEEP_RETRY = 60.0  # seconds
 # Time in which callers are asked to connect elsewhere while the daemon leaves.
@@ -83,7 +85,6 @@
         self._build_calls()
         self._endpoint_by_target: dict[TargetId, Endpoint] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._quota_run: asyncio.Task[None] | None = None
         self._listener: Server | None = None
         self.stopping = asyncio.Event()
 
@@ -98,6 +99,7 @@
         self._every(TICK, self._tick)
         self._every(POLL_INTERVAL, self._poll_store)
         self._every(DIRECTORY_INTERVAL, self.control.maintain_directory_once)
+        self._every(LEASE_INTERVAL, self.leases.run_once)
         self._spawn(self._sweep_claims())
         logging.info("daemon %s started", self.me)
 
@@ -317,9 +319,9 @@
         self.control.tick()
         self.targets.tick()
         self.version_times.note()
-        # The quotas may wait for the store; the control plane must not.
-        if self._quota_run is None or self._quota_run.done():
-            self._quota_run = self._spawn(self._run_quotas())
+        # Neither of the two waits for anything but the loop itself.
+        await self.quota_service.run_once()
+        await self.quotas.run_once()
 
     async def _poll_store(self) -> None:
         await self.control.poll_store_once()
@@ -334,11 +336,6 @@
                     pause = swept.pause
             await asyncio.sleep(pause * self.rng.uniform(0.9, 1.1))
 
-    async def _run_quotas(self) -> None:
-        await self.leases.run_once()
-        await self.quota_service.run_once()
-        await self.quotas.run_once()
-
     def _receive_control(self, link: LinkId, data: bytes) -> None:
         try:
             message = messages.decode(data)
