Let a target that was slow once get calls again

With two targets and few calls, one bad sample kept all calls from a target: the median of two was set by the slow one, the strict comparison never tied, and a new good sample weighed only 20% beside a minute-old one. The norm is now the lower median, costs within 10% count as equal, and old samples lose weight.

--- a/src/cassiasail/_internal/coordination/balancer.py
+++ b/src/cassiasail/_internal/coordination/balancer.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 from random import Random
-from statistics import median
+from statistics import median_low
 
 import xxhash
 
@@ -26,6 +26,9 @@
 # by one after each quiet period.
 SUBSET_GROWTH = 4
 QUIET_PERIOD = 10.0  # seconds
+# Costs that differ by less than this factor count as equal. Without it, the fading
+# rest of one bad measurement would keep all calls away from an idle target.
+TIE = 1.1
 REVIEW_INTERVAL = 1.0  # seconds between judgements of outliers
 # With fewer targets in the data centre than this, their latency has to be compared
 # with targets elsewhere in the region. The share stays below the 1 call in 100 that
@@ -264,7 +267,7 @@
         second += second >= first
         one, other = candidates[first], candidates[second]
         cost, other_cost = one.cost(now, typical), other.cost(now, typical)
-        if cost == other_cost:
+        if cost <= TIE * other_cost and other_cost <= TIE * cost:
             # The target beside this daemon saves a hop.
             return other if other.view.daemon_id == self._daemon else one
         return one if cost < other_cost else other
@@ -307,7 +310,8 @@
         state.reviewed_at = now
         scores = [score for _, score in state.ranked]
         latencies = [score.latency for score in scores if score.latency is not None]
-        state.typical = median(latencies) if latencies else 0.0
+        # The lower median: of two targets the slow one must not set the norm.
+        state.typical = median_low(latencies) if latencies else 0.0
         eject_outliers(scores, len(scores), now)
         if state.extra and now - max(state.saturated_at, state.grown_at) > QUIET_PERIOD:
             state.extra -= 1
--- a/src/cassiasail/_internal/coordination/outliers.py
+++ b/src/cassiasail/_internal/coordination/outliers.py
@@ -1,7 +1,7 @@
 """Ejection of targets that do much worse than the others of their service."""
 
 from collections.abc import Sequence
-from statistics import median
+from statistics import median, median_low
 
 from .. import invariants, metrics
 from .targetscores import TargetScore
@@ -64,7 +64,7 @@
     latencies = [item.latency for item in others if item.latency is not None]
     if score.latency is None or not latencies:
         return None
-    typical = median(latencies)
+    typical = median_low(latencies)
     limit = max(LATENCY_FACTOR * typical, typical + MIN_LATENCY_GAP)
     return "latency" if score.latency > limit else None
 
--- a/src/cassiasail/_internal/coordination/targetscores.py
+++ b/src/cassiasail/_internal/coordination/targetscores.py
@@ -61,13 +61,16 @@
         if outcome is Outcome.CANCELLED:
             return
         bad = 0.0 if outcome is Outcome.ANSWERED else 1.0
-        past = self.failure_rate * self._memory(now)
+        kept = self._memory(now)
+        past = self.failure_rate * kept
         self.failure_rate = past + SMOOTHING * (bad - past)
         if outcome is not Outcome.REFUSED:
             # A refusal is quick; counted as a latency it would make the target look
             # attractive.
             previous = seconds if self.latency is None else self.latency
-            self.latency = previous + SMOOTHING * (seconds - previous)
+            # An old measurement weighs less beside a new one.
+            weight = SMOOTHING / (SMOOTHING + (1 - SMOOTHING) * kept)
+            self.latency = previous + weight * (seconds - previous)
         self.measured_at = now
         self.samples += 1
 
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -150,3 +150,25 @@
         world.advance(0.1)
     assert world.balancer.ejected(SERVICE) == 0
     assert 0 < calls < 0.6 * 300 * 8 / 4
+
+
+def test_target_that_was_slow_once_gets_calls_again() -> None:
+    """Guards against a bad measurement that outlives its cause without load."""
+    world = BalancerWorld(seed=8)
+    world.add(0, 9)
+    world.add(0, 9)
+    slow = next(iter(world.view_by_id))
+    world.advance(60.0)
+    later = 0
+    was_slow = False
+    for second in range(180):
+        world.call(0, 1)
+        chosen = world.in_flight[0].target_id
+        first_time = chosen == slow and not was_slow
+        was_slow = was_slow or first_time
+        later += chosen == slow and second > 60
+        world.finish(0, Outcome.ANSWERED, 5.0 if first_time else 0.01, None)
+        world.advance(1.0)
+    assert was_slow
+    # It comes back about every half minute until its average is normal again.
+    assert later >= 3
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -244,3 +244,46 @@
     assert claims.status(token) is ClaimStatus.RUNNING
     world.loop.kill(task)
     assert claims.status(token) is ClaimStatus.NEVER_RUN
+
+
+@pytest.mark.parametrize("landing", [None, 0.01, 1.0, 30.0])
+def test_lost_claim_write_is_settled_by_a_second_one(landing: float | None) -> None:
+    """Guards against a read-back that comes before a delayed write."""
+
+    async def scenario() -> None:
+        daemon = OneDaemon()
+        if landing is None:
+            daemon.store.lose_answers = 1
+        else:
+            daemon.store.delay_effects = 1
+            daemon.store.effect_delay = landing
+        claimed = await daemon.take()
+        assert isinstance(claimed, Claimed)
+        assert daemon.store.count_by_operation["transact"] == 2
+        daemon.clock.advance(60)
+        daemon.store.settle()
+        row = daemon.store.row_by_key[claimed.row_key]
+        assert row.value["token"] == claimed.token
+        assert row.revision == claimed.revision
+
+    asyncio.run(scenario())
+
+
+def test_sweep_spares_a_key_that_was_released_and_claimed_again() -> None:
+    """Guards against the first claim's age removing the second claim."""
+
+    async def scenario() -> None:
+        daemon = OneDaemon()
+        first = await daemon.take()
+        assert isinstance(first, Claimed)
+        await daemon.claims.release(first)
+        daemon.clock.advance(24.5 * 3600)
+        second = await daemon.take(attempt=2)
+        assert isinstance(second, Claimed)
+        daemon.clock.advance(3600)
+        for _ in range(16):
+            await daemon.claims.sweep()
+        assert first.row.age_key not in daemon.store.row_by_key
+        assert second.row_key in daemon.store.row_by_key
+
+    asyncio.run(scenario())
