--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from cassiasail._internal.coordination.balancer import SUBSET_SIZE
+from cassiasail._internal.ids import TargetId
 from cassiasail._internal.state.targets import Outcome, TargetState
 from devtools.balancer_world import SERVICE, BalancerWorld, run_balancer
 from devtools.bench_balancing import measure_balancing
@@ -172,3 +174,66 @@
     assert was_slow
     # It comes back about every half minute until its average is normal again.
     assert later >= 3
+
+
+def count_calls(
+    world: BalancerWorld, target: TargetId, *, rounds: int, slow: float = 0.01
+) -> int:
+    """Make 8 calls at a time, ten times a second; return those to ``target``."""
+    calls = 0
+    for _ in range(rounds):
+        for _ in range(8):
+            world.call(0, 1)
+        while world.in_flight:
+            hit = world.in_flight[0].target_id == target
+            calls += hit
+            world.finish(0, Outcome.ANSWERED, slow if hit else 0.01, None)
+        world.advance(0.1)
+    return calls
+
+
+def test_new_target_gets_little_at_first_and_its_share_later() -> None:
+    """Guards against full load on a cold target."""
+    world = BalancerWorld(seed=9)
+    for _ in range(3):
+        world.add(0, 9)
+    world.advance(60.0)
+    world.add(0, 9)
+    new = list(world.view_by_id)[-1]
+    fair = 20 * 8 / 4
+    assert count_calls(world, new, rounds=20) < fair / 4
+    world.advance(10.0)
+    assert count_calls(world, new, rounds=20) > fair / 2
+
+
+def test_slow_single_target_of_the_data_centre_is_found_out() -> None:
+    """Guards against locality that hides a slow target from any comparison."""
+    world = BalancerWorld(seed=10)
+    world.add(0, 9)
+    near = next(iter(world.view_by_id))
+    for _ in range(3):
+        world.add(2, 9)
+    world.advance(60.0)
+    assert count_calls(world, near, rounds=10) > 70
+    count_calls(world, near, rounds=600, slow=0.2)
+    # Ejections of up to 60 s leave a call now and then.
+    assert count_calls(world, near, rounds=300, slow=0.2) < 300 * 8 / 4
+
+
+def test_subset_grows_under_saturation_and_shrinks_after_it() -> None:
+    """Guards against a subset that stays wide and keeps connections for ever."""
+    world = BalancerWorld(seed=11)
+    for _ in range(20):
+        world.add(0, 1)
+    for _ in range(5):
+        for _ in range(30):
+            world.call(0, 1)
+        world.advance(1.0)
+    assert len(world.balancer.subset(SERVICE)) == 20
+    while world.in_flight:
+        world.finish(0, Outcome.ANSWERED, 0.01, None)
+    for _ in range(300):
+        world.call(0, 1)
+        world.finish(0, Outcome.ANSWERED, 0.01, None)
+        world.advance(1.0)
+    assert len(world.balancer.subset(SERVICE)) == SUBSET_SIZE
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -137,6 +137,20 @@
     asyncio.run(scenario())
 
 
+def test_lost_answer_of_a_record_is_recognised() -> None:
+    """Guards against a recorded order that is reported as unrecorded."""
+
+    async def scenario() -> None:
+        daemon = OneDaemon()
+        assert isinstance(claimed := await daemon.take(), Claimed)
+        claimed.dispatched()
+        daemon.store.lose_answers = 1
+        answer = RecordedAnswer(status=200, headers=(), body=b"")
+        assert await daemon.claims.record(claimed, answer)
+
+    asyncio.run(scenario())
+
+
 def test_too_large_and_damaged_answers_are_unknown_never_partial() -> None:
     """Guards against a replay of a part of an answer, and against a second run."""
 
