--- a/src/cassiasail/_internal/coordination/attachment.py
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -46,6 +46,8 @@
         self._lonely_since = links.clock.now()
         self._probed_at = -1e9
         self._heal_round = 0
+        # When this daemon last had a parent or needed none.
+        self._attached_at = links.clock.now()
         self.tree = topology.build_tree([table.own], store_region=store_region)
         self.relays: tuple[DaemonId, ...] = ()
         table.on_change.append(self._on_member_change)
@@ -65,8 +67,16 @@
 
     @property
     def is_poller(self) -> bool:
-        """Whether this daemon reads the store for the fleet."""
-        return self._table.own.id in self.tree.pollers
+        """Whether this daemon reads the store.
+
+        Besides the two pollers of the fleet, a head that finds no parent does: the
+        pollers may be lost or cut off, and the store may still be in reach. That is
+        at most one daemon in a data centre.
+        """
+        if self._table.own.id in self.tree.pollers:
+            return True
+        alone_for = self._links.clock.now() - self._attached_at
+        return self.is_head and alone_for >= self._links.options.dead_after
 
     @property
     def needs_contacts(self) -> bool:
@@ -117,6 +127,8 @@
     def tick(self) -> None:
         """Keep the right parent; join or heal a split when there is none."""
         self._refresh_tree()
+        if self._links.parent is not None or self.is_root:
+            self._attached_at = self._links.clock.now()
         candidates = self._candidates()
         if candidates:
             self._keep_parent(candidates)
