--- a/devtools/bench_control.py
+++ b/devtools/bench_control.py
@@ -104,10 +104,19 @@
     return [node.sent_bytes + node.received_bytes for node in net.nodes]
 
 
-def measure_idle(net: Network) -> tuple[float, float, float]:
-    """Return mean and highest bytes/s per daemon, and bytes/s across regions."""
+def measure_idle(net: Network) -> tuple[float, float, float, float, float]:
+    """Return mean and highest bytes/s per daemon, bytes/s across regions, and mean
+    and highest share of a core.
+
+    The share covers the control plane and the codecs, not the transport.
+    """
     before, region = control_bytes(net), net.region_bytes
+    busy = [node.busy_seconds for node in net.nodes]
     net.run_for(IDLE_SECONDS)
+    shares = [
+        (node.busy_seconds - start) / IDLE_SECONDS
+        for start, node in zip(busy, net.nodes, strict=True)
+    ]
     rates = [
         (after - start) / IDLE_SECONDS
         for start, after in zip(before, control_bytes(net), strict=True)
@@ -116,6 +125,8 @@
         sum(rates) / len(rates),
         max(rates),
         (net.region_bytes - region) / IDLE_SECONDS,
+        sum(shares) / len(shares),
+        max(shares),
     )
 
 
@@ -141,11 +152,41 @@
     return total / CHANGES, crossed / CHANGES, slowest
 
 
+def gossip_baseline(net: Network, seed: int, round_seconds: float = 1.0) -> str:
+    """Return what gossip alone would cost: every round each daemon compares versions
+    and digests with one random member, and the newer end sends the delta."""
+    rng = random.Random(seed)
+    control = net.running[0].control
+    assert control is not None
+    digests = m.MemberDigests(control.lists.version, control.table.digests())
+    compare = 2 * (len(m.encode(digests)) + FRAME_BYTES)
+    slowest = 0
+    for _ in range(CHANGES):
+        holders, rounds = {0, 1}, 0
+        while len(holders) < len(net.nodes):
+            rounds += 1
+            for daemon in range(len(net.nodes)):
+                other = rng.randrange(len(net.nodes))
+                if daemon in holders or other in holders:
+                    holders |= {daemon, other}
+        slowest = max(slowest, rounds)
+    daemons = len(net.nodes)
+    crossing = sum(
+        left.region != right.region for left in net.nodes for right in net.nodes
+    ) / (daemons * daemons)
+    return (
+        f"gossip alone every {round_seconds:.0f} s: idle "
+        f"{2 * compare / round_seconds:.0f} bytes/s per daemon, across regions "
+        f"{compare * daemons * crossing / round_seconds:.0f}, slowest "
+        f"{slowest * round_seconds:.0f} s"
+    )
+
+
 def measure_traffic(daemons: int, seed: int) -> str:
     """Return bytes per change and idle bytes against the baselines."""
     net = start_fleet(daemons, seed)
     total, region, slowest = measure_changes(net)
-    mean, highest, region_idle = measure_idle(net)
+    mean, highest, region_idle, share, top_share = measure_idle(net)
     base = baselines(net)
     return (
         f"{daemons:4} daemons: change {total:.0f} bytes ("
@@ -154,8 +195,10 @@
         f"across regions {region:.0f} "
         f"({region / base['push_region']:.4f} of push {base['push_region']:.0f}), "
         f"slowest {slowest:.2f} s; idle {mean:.0f} bytes/s per daemon, "
-        f"highest {highest:.0f}, across regions {region_idle:.0f}; poll idle "
-        f"{base['poll_idle']:.0f} and {base['poll_reads']:.0f} reads/s"
+        f"highest {highest:.0f}, across regions {region_idle:.0f}, {share:.2%} of a "
+        f"core, highest {top_share:.2%}; poll idle "
+        f"{base['poll_idle']:.0f} and {base['poll_reads']:.0f} reads/s; "
+        f"{gossip_baseline(net, seed)}"
     )
 
 
--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -177,7 +178,9 @@
         if node.control is None or node.incarnation != life:
             return
         if not node.paused:
+            started = time.perf_counter()
             node.control.tick()
+            node.busy_seconds += time.perf_counter() - started
             self.check_node(node)
         self._at(TICK, lambda: self._tick(node, life))
 
@@ -254,7 +257,9 @@
             self._at(0.2, lambda: self._arrive(end, data))
             return
         end.other.node.received_bytes += len(data) + FRAME_BYTES
+        started = time.perf_counter()
         message = m.decode(data)
+        end.other.node.busy_seconds += time.perf_counter() - started
         assert message is not None
         self._deliver_to(end.other, lambda c: c.receive(end.other, message))
 
@@ -267,7 +272,9 @@
             if node.paused:
                 node.inbox.append(act)
                 return
+            started = time.perf_counter()
             action(node.control)
+            node.busy_seconds += time.perf_counter() - started
             self.check_node(node)
 
         act()
