Do not let the HTTP client send a call to a target twice

aiohttp sends GET, PUT, DELETE and other methods again on its own after a reset, also on routes that are not idempotent. After a crash the second sending met a refused connection, so the call was refused as "target_gone", executed "no", although it had run, and the death left no strike.

--- a/src/cassiasail/_internal/transport/target_http.py
+++ b/src/cassiasail/_internal/transport/target_http.py
@@ -119,13 +119,18 @@
         keepalive_timeout=None if force_close else KEEP_ALIVE,
         use_dns_cache=False,
     )
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
     )
+    # By default the library sends GET, PUT, DELETE and others again after a reset. A
+    # non-idempotent call would run twice, a crash would hide behind the refused
+    # connection of the second sending, and that refusal would say "not executed".
+    session._retry_connection = False
+    return session
 
 
 async def _answer(
