Stop a request after it failed on two targets, and say that it may have run

An idempotent call that crashed a target was retried, and its refusal was that of the last attempt: "no_target" or "suspected", executed "no", although it had run. The refusal now says "unknown" once any attempt may have run.

A request on probation avoids the targets that died with it, since a second death of the same target settles nothing, and a call that failed on two targets is not sent to a third, where the notice of the first death may not have arrived yet.

--- a/src/cassiasail/_internal/coordination/quarantine.py
+++ b/src/cassiasail/_internal/coordination/quarantine.py
@@ -158,6 +158,17 @@
             return False
         return any(not moment.weak for moment in self._moments(fingerprint, deaths))
 
+    def killed(self, fingerprint: Fingerprint) -> frozenset[TargetId]:
+        """Return the targets that died with a request on probation.
+
+        The request is sent to others first: a second death of the same target would
+        not tell whether the request or the target is at fault.
+        """
+        deaths = self._deaths_by_fingerprint.get(fingerprint)
+        if not deaths or not self.is_on_probation(fingerprint):
+            return frozenset()
+        return frozenset(death.target for death in deaths)
+
     def answered(self, fingerprint: Fingerprint) -> None:
         """Lift the strikes of a request that a target has answered.
 
--- a/src/cassiasail/_internal/coordination/retries.py
+++ b/src/cassiasail/_internal/coordination/retries.py
@@ -24,6 +24,9 @@
 MAX_TRIES = 4  # dispatches of one call by one daemon, the first one included
 BACKOFF_BASE = 0.01  # seconds, doubled with each retry
 BACKOFF_CAP = 1.0  # seconds
+# A request that two targets failed on may be the cause; the notice of the first death
+# may still be on its way to the host of a third target.
+MAX_FAILURES = 2
 
 BUDGET_WINDOW = 10  # seconds
 BUDGET_SHARE = 0.1  # retries per call in the window
@@ -90,8 +93,9 @@
 class RetryCase:
     """A refused call at the point of the decision.
 
-    ``tries`` counts dispatches made by this daemon. ``expected_seconds`` is how long
-    an answer usually takes; a retry that cannot end in time is not worth its load.
+    ``tries`` counts dispatches made by this daemon, ``failures`` those among them that
+    ended with a failure of the target. ``expected_seconds`` is how long an answer
+    usually takes; a retry that cannot end in time is not worth its load.
     """
 
     refusal: Refusal
@@ -100,6 +104,7 @@
     tries: int
     deadline: float
     idempotent: bool
+    failures: int = 0
     answer_started: bool = False
     expected_seconds: float = 0.0
 
@@ -279,7 +284,7 @@
         return DeniedReason.MAY_HAVE_RUN
     if case.refusal.reason not in RETRYABLE:
         return DeniedReason.NOT_RETRYABLE
-    if case.tries >= MAX_TRIES:
+    if case.tries >= MAX_TRIES or case.failures >= MAX_FAILURES:
         return DeniedReason.TRIES
     return None
 
--- a/src/cassiasail/_internal/coordination/router.py
+++ b/src/cassiasail/_internal/coordination/router.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from .. import invariants, metrics
@@ -59,12 +59,28 @@
 
 @dataclass(slots=True, kw_only=True)
 class Attempts:
-    """The attempts of one call so far."""
+    """The attempts of one call so far.
+
+    ``failures`` counts those on which the target failed. ``may_have_run`` once an
+    attempt ended without saying that the call was not executed.
+    """
 
     routed: RoutedCall
     claimed: Claimed | None
     tried: frozenset[TargetId] = frozenset()
     tries: int = 0
+    failures: int = 0
+    may_have_run: bool = False
+
+    def note(self, refusal: Refusal) -> None:
+        """Take the end of one attempt into account."""
+        self.failures += refusal.reason is RefusalReason.TARGET_FAILED
+        self.may_have_run |= refusal.executed is not Executed.NO
+
+    def final(self, refusal: Refusal) -> Refusal:
+        """Return the last refusal; it says "not executed" only for all attempts."""
+        executed = Executed.UNKNOWN if self.may_have_run else refusal.executed
+        return replace(final_refusal(refusal), executed=executed)
 
 
 class CallRouter:
@@ -234,24 +250,27 @@
 
     async def _attempt_until_done(self, attempts: Attempts) -> Answer | Refusal:
         routed = attempts.routed
+        attempts.tried = self._quarantine.killed(routed.fingerprint)
         count_call(self._budget, routed.route.service, routed.customer)
         while True:
             result = await self._attempt(attempts)
             if isinstance(result, Answer):
                 return result
+            attempts.note(result)
             decision = self._decide(
                 RetryCase(
                     refusal=result,
                     service=routed.route.service,
                     customer=routed.customer,
                     tries=max(1, attempts.tries),
+                    failures=attempts.failures,
                     deadline=routed.deadline,
                     idempotent=routed.is_idempotent,
                     answer_started=not isinstance(routed.call.body, bytes),
                 )
             )
             if isinstance(decision, Denied):
-                return final_refusal(result)
+                return attempts.final(result)
             await self._clock.sleep(decision.seconds)
 
     async def _attempt(self, attempts: Attempts) -> Answer | Refusal:
@@ -263,7 +282,7 @@
             expected_bytes=length + TYPICAL_ANSWER,
         )
         if isinstance(target, Refusal) and attempts.tried:
-            # Every target was tried; the first one may have recovered.
+            # Every target was tried or avoided; the first one may have recovered.
             attempts.tried = frozenset()
             target = self._balancer.choose(
                 routed.route.service,
