--- a/tests/unit/test_retries.py
+++ b/tests/unit/test_retries.py
@@ -1,8 +1,12 @@
 """Retries stay within deadline, budget and one layer."""
 
 from collections import Counter
+from random import Random
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from cassiasail._internal.coordination.retries import (
     MAX_DEPTH,
@@ -11,7 +15,38 @@
 )
 from cassiasail._internal.state.refusals import Refusal, RefusalReason
 from devtools.bench_balancing import measure_chain
-from devtools.retries_world import run_retries
+from devtools.retries_world import RetriesWorld, run_retries
+
+
+class RetriesMachine(RuleBasedStateMachine):
+    """Guards against retries outside the rules, in any order of calls and time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = RetriesWorld(seed=1)
+
+    @rule(
+        service=st.integers(0, 2),
+        customer=st.integers(0, 2),
+        count=st.sampled_from([1, 10, 300]),
+    )
+    def call(self, service: int, customer: int, count: int) -> None:
+        self.world.call(service, customer, count)
+
+    @rule(rng=st.randoms(use_true_random=False), count=st.sampled_from([1, 40]))
+    def refuse(self, rng: Random, count: int) -> None:
+        for _ in range(count):
+            self.world.refuse(self.world.random_case(rng))
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 9.9, 30.0]))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+
+RetriesMachine.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestRetries = RetriesMachine.TestCase
 
 
 def test_rules_and_amplification_hold_on_random_calls() -> None:
