Keep daemons that know nobody from polling the store in a herd

Each takes itself for the poller. With seeds configured they now wait 5 s, not counting the time a Busy asked for, and then read every 2 to 4 s. The herd test bounds the reads at 50 per second.

--- a/src/cassiasail/_internal/coordination/attachment.py
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -12,6 +12,8 @@
 
 # Rounds of healing between two attempts to reach a member believed dead.
 _DEAD_EVERY = 4
+# Seconds without any member before a daemon with seeds reads the store itself.
+_ALONE_BEFORE_POLL = 5.0
 
 
 class Attachment:
@@ -46,6 +48,7 @@
         self._lonely_since = links.clock.now()
         self._probed_at = -1e9
         self._heal_round = 0
+        self._alone_poll_at = -1e9
         # When this daemon last had a parent or needed none.
         self._attached_at = links.clock.now()
         self.tree = topology.build_tree([table.own], store_region=store_region)
@@ -71,12 +74,27 @@
 
         Besides the two pollers of the fleet, a head that finds no parent does: the
         pollers may be lost or cut off, and the store may still be in reach. That is
-        at most one daemon in a data centre.
+        at most one daemon in a data centre. A daemon that knows nobody yet takes
+        itself for the poller; in a herd restart all do, so these wait first.
         """
+        if self._is_alone() and self._seeds:
+            return self.lonely_for >= _ALONE_BEFORE_POLL
         if self._table.own.id in self.tree.pollers:
             return True
-        alone_for = self._links.clock.now() - self._attached_at
-        return self.is_head and alone_for >= self._links.options.dead_after
+        unattached_for = self._links.clock.now() - self._attached_at
+        return self.is_head and unattached_for >= self._links.options.dead_after
+
+    def may_poll(self) -> bool:
+        """Return whether to read the store now; a daemon on its own reads rarely."""
+        if not self.is_poller:
+            return False
+        now = self._links.clock.now()
+        if not (self._is_alone() and self._seeds):
+            return True
+        if now < self._alone_poll_at:
+            return False
+        self._alone_poll_at = now + self._links.rng.uniform(2.0, 4.0)
+        return True
 
     @property
     def needs_contacts(self) -> bool:
@@ -88,11 +106,11 @@
         """Seconds without any member, 0 if there are some."""
         if not self._is_alone():
             return 0.0
-        return self._links.clock.now() - self._lonely_since
+        return max(0.0, self._links.clock.now() - self._lonely_since)
 
-    def answered(self) -> None:
-        """Note that a seed or contact is alive, only out of room for now."""
-        self._lonely_since = self._links.clock.now()
+    def answered(self, wait: float) -> None:
+        """Note that a seed or contact is alive and has room in ``wait`` seconds."""
+        self._lonely_since = self._links.clock.now() + wait
 
     def is_candidate(self, record: MemberRecord) -> bool:
         """Return whether ``record`` may become the parent by the present tree."""
--- a/src/cassiasail/_internal/coordination/children.py
+++ b/src/cassiasail/_internal/coordination/children.py
@@ -40,7 +40,6 @@
         if link.address is None:
             return
         # It is alive, only out of room; the jitter spreads a herd.
-        self._attachment.answered()
         self._dialer.wait(
             link.address, message.seconds * self._links.rng.uniform(0.5, 1.5)
         )
--- a/src/cassiasail/_internal/coordination/control.py
+++ b/src/cassiasail/_internal/coordination/control.py
@@ -122,7 +122,7 @@
             store=store,
             links=self._links,
             distribution=self._distribution,
-            is_poller=lambda: self._attachment.is_poller,
+            may_poll=self._attachment.may_poll,
         )
         self._directory = Directory(
             store=store, links=self._links, table=table, attachment=self._attachment
--- a/src/cassiasail/_internal/coordination/status.py
+++ b/src/cassiasail/_internal/coordination/status.py
@@ -50,7 +50,7 @@
         self._lists = lists
         self._links = links
         self._attachment = attachment
-        self._sent_at = -1e9
+        self._next_at = -1e9
         self._sent: tuple[object, ...] | None = None
         self._sent_attached: tuple[DaemonId, ...] | None = None
 
@@ -69,8 +69,10 @@
         """Report to the parent on change, at most once per interval."""
         parent = self._links.parent
         now = self._links.clock.now()
-        if parent is None or now - self._sent_at < self._links.options.status_interval:
+        if parent is None or now < self._next_at:
             return
+        # Comparing what the children run costs time at every tick of a head.
+        self._next_at = now + self._links.options.status_interval / 4
         children = list(self._links.children())
         if not children and self._sent is None:
             # The parent counts a leaf by what it confirms itself.
@@ -81,7 +83,8 @@
         if state == self._sent:
             return
         changed = attached != self._sent_attached
-        self._sent, self._sent_attached, self._sent_at = state, attached, now
+        self._sent, self._sent_attached = state, attached
+        self._next_at = now + self._links.options.status_interval
         report = StatusReport(counts, stragglers, attached if changed else None)
         self._links.send(parent, report)
 
--- a/src/cassiasail/_internal/coordination/store_tasks.py
+++ b/src/cassiasail/_internal/coordination/store_tasks.py
@@ -48,18 +48,18 @@
         store: Store,
         links: Links,
         distribution: Distribution,
-        is_poller: Callable[[], bool],
+        may_poll: Callable[[], bool],
     ) -> None:
         self._store = store
         self._links = links
         self._distribution = distribution
-        self._is_poller = is_poller
+        self._may_poll = may_poll
         self._refused_head: object = None
         self._refused_at = -1e9
 
     async def poll_once(self) -> None:
         """Read the head row once; do nothing unless this daemon is a poller."""
-        if not self._is_poller():
+        if not self._may_poll():
             return
         rows = await self._store.read([listcodec.HEAD_KEY])
         if isinstance(rows, StoreFailure):
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -134,7 +134,8 @@
 
 
 def test_admission_spreads_a_herd() -> None:
-    """Guards against a restart of all daemons that opens all links at once."""
+    """Guards against a restart of all daemons that opens all links at once, or that
+    moves the load to the store."""
     net = Network(
         seed=3,
         daemons=60,
@@ -156,7 +157,10 @@
 
         admission.admit = counted  # type: ignore[method-assign]
     net.commit()
+    started, reads = net.clock.now(), net.store.reads
     net.settle(40.0, versions=40.0)
+    # The daemons that wait must not turn to the store instead.
+    assert net.store.reads - reads <= 50 * (net.clock.now() - started)
     for (daemon, slot), _ in list(accepted.items()):
         in_a_second = sum(accepted[daemon, slot + i] for i in range(9))
         assert in_a_second <= 10
