--- /dev/null
+++ b/tests/functional/promises/versions.feature
@@ -0,0 +1,28 @@
+Feature: Accepted versions are in force everywhere, bad ones nowhere
+
+  Background:
+    Given a fleet at rest
+    And every version in force is watched
+
+  Scenario: The store goes down right after a commit
+    When a version is committed and the store goes down
+    Then every daemon has the version in force within 8 s
+    And every daemon answers calls
+    And no daemon has shown a lower version than before
+
+  Scenario Outline: A damaged version
+    When the newest version in the store has <damage>
+    Then the status of the pollers shows the version as refused
+    And every daemon keeps the last good version and answers calls
+    When the head row is repaired and a good version is committed
+    Then every daemon has the version in force within 8 s
+    And no status shows a refused version
+    And no daemon has shown a lower version than before
+
+    Examples:
+      | damage                    |
+      | a malformed head row      |
+      | a malformed object        |
+      | an object of other lists  |
+      | lists that fail the check |
+      | no objects                |
