Keep one load report and one endpoint state; skip the timer of local calls

The same type stood in frames, permits and targets. The expected waits left the report, because nothing read them; the model's check that they are not negative is now an invariant of the queue itself. Local calls need no timer of their own, as the host side enforces the deadline.

--- a/devtools/balancer_world.py
+++ b/devtools/balancer_world.py
@@ -20,11 +20,11 @@
     ServiceName,
     TargetId,
 )
+from cassiasail._internal.state.members import EndpointState
 from cassiasail._internal.state.refusals import Refusal, RefusalReason
 from cassiasail._internal.state.targets import (
     LoadReport,
     Outcome,
-    TargetState,
     TargetView,
 )
 from devtools.virtualtime import VirtualLoop
@@ -73,7 +73,7 @@
             daemon_id=DaemonId(f"127.0.0.1:{7000 + self._next}"),
             region=region,
             data_centre=data_centre,
-            state=TargetState.READY,
+            state=EndpointState.READY,
             slots=slots,
             ready_since=self.loop.now(),
             reachable=True,
@@ -81,7 +81,7 @@
         self.view_by_id[view.target_id] = view
         self._update()
 
-    def change(self, index: int, state: TargetState, reachable: bool) -> None:
+    def change(self, index: int, state: EndpointState, reachable: bool) -> None:
         """Change the state of a target."""
         if not self.view_by_id:
             return
@@ -128,7 +128,7 @@
         view = self.in_flight.pop(index % len(self.in_flight))
         report = None
         if queued is not None:
-            report = LoadReport(queued=queued, busy=view.slots, slots=view.slots)
+            report = LoadReport(queued=queued, in_flight=view.slots, slots=view.slots)
         self.balancer.finished(view, outcome, seconds, report)
 
     def advance(self, seconds: float) -> None:
@@ -203,7 +203,7 @@
     elif draw < 0.90 and len(world.view_by_id) < 40:
         world.add(rng.randrange(4), rng.choice((1, 9, 18)))
     elif draw < 0.97:
-        state = rng.choice((TargetState.READY, TargetState.READY, *TargetState))
+        state = rng.choice((EndpointState.READY, EndpointState.READY, *EndpointState))
         world.change(rng.randrange(1000), state, rng.random() < 0.8)
     elif len(world.view_by_id) > 3:
         world.remove(rng.randrange(1000))
--- a/devtools/balancing_model.py
+++ b/devtools/balancing_model.py
@@ -18,11 +18,11 @@
     ServiceName,
     TargetId,
 )
+from cassiasail._internal.state.members import EndpointState
 from cassiasail._internal.state.refusals import Refusal
 from cassiasail._internal.state.targets import (
     LoadReport,
     Outcome,
-    TargetState,
     TargetView,
 )
 from devtools.virtualtime import Gate, Task, VirtualLoop
@@ -70,7 +70,7 @@
             daemon_id=DaemonId(f"host{index}"),
             region=REGION,
             data_centre=DATA_CENTRE,
-            state=TargetState.READY,
+            state=EndpointState.READY,
             slots=SLOTS,
             # Only the cold target has just started.
             ready_since=self._started if kind == "cold" else -math.inf,
@@ -105,8 +105,8 @@
     def report(self) -> LoadReport:
         """Return what the host reports, which a lying target falsifies."""
         if self.kind == "lying":
-            return LoadReport(queued=0, busy=0, slots=SLOTS)
-        return LoadReport(queued=len(self.queue), busy=self.busy, slots=SLOTS)
+            return LoadReport(queued=0, in_flight=0, slots=SLOTS)
+        return LoadReport(queued=len(self.queue), in_flight=self.busy, slots=SLOTS)
 
     def _start(self, job: Job) -> None:
         self.busy += 1
--- a/devtools/hosting_model.py
+++ b/devtools/hosting_model.py
@@ -267,7 +267,6 @@
                 self.queue_capacity is None or report.queued <= self.queue_capacity,
                 "queue above its capacity",
             )
-            self.expect(min(report.expected_waits) >= 0, "negative expected wait")
         for lost in self.lost_by_fingerprint.values():
             self.expect(len(lost) <= 2, f"one request killed {dict(lost)}")
 
--- a/src/cassiasail/_internal/coordination/hosting.py
+++ b/src/cassiasail/_internal/coordination/hosting.py
@@ -22,17 +22,16 @@
 from .. import invariants, metrics
 from ..clock import Clock
 from ..ids import TargetId
-from ..state.lists import CallClass
 from ..state.queues import AdmissionQueue, Decision
 from ..state.refusals import Executed, Refusal, RefusalReason
 from ..state.slots import SlotLimit
+from ..state.targets import LoadReport
 from .endpoints import EndpointPublisher
 from .permits import (
     Announcement,
     CallOutcome,
     EndpointChange,
     HostedCall,
-    LoadReport,
     SlotPermit,
     TargetState,
 )
@@ -185,7 +184,6 @@
             queued=self._queue.queued,
             slots=self._queue.slots if self.state is TargetState.READY else 0,
             in_flight=self._queue.in_flight,
-            expected_waits=tuple(self._queue.expected_wait(each) for each in CallClass),
         )
 
     def leave(self) -> None:
--- a/src/cassiasail/_internal/coordination/permits.py
+++ b/src/cassiasail/_internal/coordination/permits.py
@@ -61,19 +61,6 @@
     started: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LoadReport:
-    """Load of a target, carried on answers.
-
-    ``expected_waits`` is in seconds, in the order of ``CallClass``.
-    """
-
-    queued: int
-    slots: int
-    in_flight: int
-    expected_waits: tuple[float, ...]
-
-
 class CallOutcome(Enum):
     """How a call that held a slot ended, as seen by the transport."""
 
--- a/src/cassiasail/_internal/coordination/router.py
+++ b/src/cassiasail/_internal/coordination/router.py
@@ -22,7 +22,6 @@
     read_up_to,
 )
 from ..protocol.frames import CallHead
-from ..protocol.frames import LoadReport as FrameReport
 from ..state.refusals import Executed, Refusal, RefusalReason
 from ..state.targets import LoadReport, Outcome, TargetView
 from ..state.token_cache import Grant
@@ -45,7 +44,7 @@
 )
 
 Send = Callable[
-    [DaemonId, CallHead, Body], Awaitable[tuple[Answer | Refusal, FrameReport | None]]
+    [DaemonId, CallHead, Body], Awaitable[tuple[Answer | Refusal, LoadReport | None]]
 ]
 
 # Answers up to this size are read whole before their head is passed on, so that an
@@ -323,12 +322,12 @@
         self._balancer.started(target)
         ended = False
 
-        def finish(outcome: Outcome, report: FrameReport | None) -> None:
+        def finish(outcome: Outcome, report: LoadReport | None) -> None:
             nonlocal ended
             if not ended:
                 ended = True
                 seconds = self._clock.now() - started
-                self._balancer.finished(target, outcome, seconds, _load(report))
+                self._balancer.finished(target, outcome, seconds, report)
 
         try:
             result, report = await self._send(target.daemon_id, head, routed.call.body)
@@ -377,12 +376,6 @@
     return Outcome.REFUSED if refusal.executed is Executed.NO else Outcome.FAILED
 
 
-def _load(report: FrameReport | None) -> LoadReport | None:
-    if report is None:
-        return None
-    return LoadReport(queued=report.queued, busy=report.in_flight, slots=report.slots)
-
-
 def _replayed(answer: RecordedAnswer) -> Answer:
     return Answer(
         status=answer.status,
--- a/src/cassiasail/_internal/coordination/target_feed.py
+++ b/src/cassiasail/_internal/coordination/target_feed.py
@@ -4,8 +4,14 @@
 
 from ..clock import Clock
 from ..ids import ServiceName, TargetId
-from ..state.members import Endpoint, MemberRecord, MemberState, MemberTable
-from ..state.targets import TargetState, TargetView
+from ..state.members import (
+    Endpoint,
+    EndpointState,
+    MemberRecord,
+    MemberState,
+    MemberTable,
+)
+from ..state.targets import TargetView
 from .balancer import Balancer, LinkBudget
 
 
@@ -80,7 +86,7 @@
         self.balancer.update(service, views)
 
     def _view(self, record: MemberRecord, endpoint: Endpoint) -> TargetView:
-        state = TargetState(endpoint.state.value)
+        state = endpoint.state
         return TargetView(
             target_id=endpoint.target_id,
             daemon_id=record.id,
@@ -92,9 +98,9 @@
             reachable=record.state is MemberState.ALIVE,
         )
 
-    def _ready_since(self, endpoint: Endpoint, state: TargetState) -> float:
+    def _ready_since(self, endpoint: Endpoint, state: EndpointState) -> float:
         now = self._clock.now()
-        if state is not TargetState.READY:
+        if state is not EndpointState.READY:
             self._ready_by_target.pop(endpoint.target_id, None)
             return now
         started, since = self._ready_by_target.get(endpoint.target_id, (0, now))
--- a/src/cassiasail/_internal/coordination/targetscores.py
+++ b/src/cassiasail/_internal/coordination/targetscores.py
@@ -56,7 +56,7 @@
         if report is not None:
             # The report counted this call and this daemon's other ones as well.
             own = self.in_flight + 1
-            self.others = max(0.0, report.queued + report.busy - own)
+            self.others = max(0.0, report.queued + report.in_flight - own)
             self.reported_at = now
         if outcome is Outcome.CANCELLED:
             return
--- a/src/cassiasail/_internal/protocol/answers.py
+++ b/src/cassiasail/_internal/protocol/answers.py
@@ -6,7 +6,8 @@
 from typing import Protocol
 
 from ..state.refusals import Refusal
-from .frames import Headers, LoadReport
+from ..state.targets import LoadReport
+from .frames import Headers
 
 
 class BodyReader(Protocol):
--- a/src/cassiasail/_internal/protocol/frames.py
+++ b/src/cassiasail/_internal/protocol/frames.py
@@ -15,6 +15,7 @@
 
 from ...exceptions import ProtocolError
 from ..state.refusals import Executed, Refusal, RefusalReason
+from ..state.targets import LoadReport
 
 # Bodies up to this size travel inside HEAD or ANSWER.
 INLINE_BODY = 64 * 1024
@@ -65,19 +66,6 @@
     body_length: int | None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LoadReport:
-    """Load of a target as its host daemon sees it, carried by every answer.
-
-    ``expected_wait`` is in seconds.
-    """
-
-    slots: int
-    in_flight: int
-    queued: int
-    expected_wait: float
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HeadFrame:
     """Opens a stream; ``body`` is the whole body, or None if DATA frames follow."""
@@ -301,18 +289,17 @@
 def _report_to_wire(report: LoadReport | None) -> list[Any] | None:
     if report is None:
         return None
-    return [report.slots, report.in_flight, report.queued, report.expected_wait]
+    return [report.slots, report.in_flight, report.queued]
 
 
 def _report_from_wire(items: list[Any] | None) -> LoadReport | None:
     if items is None:
         return None
-    slots, in_flight, queued, expected_wait = items[:4]
+    slots, in_flight, queued = items[:3]
     return LoadReport(
         slots=_count(slots),
         in_flight=_count(in_flight),
         queued=_count(queued),
-        expected_wait=float(expected_wait),
     )
 
 
--- a/src/cassiasail/_internal/state/queues.py
+++ b/src/cassiasail/_internal/state/queues.py
@@ -174,7 +174,9 @@
             # Until the lower classes end, only the other slots serve this class.
             left = max(rate - held, rate / slots)
             wait = min(wait * rate / left, wait + seconds)
-        return self._in_flight.next_end(call_class) + wait
+        total = self._in_flight.next_end(call_class) + wait
+        invariants.check("expected_wait_not_negative", total >= 0, str(total))
+        return total
 
     def _refusal_of(self, call: QueuedCall, cost: float, now: float) -> Refusal | None:
         remaining = call.deadline - now
--- a/src/cassiasail/_internal/state/targets.py
+++ b/src/cassiasail/_internal/state/targets.py
@@ -4,14 +4,7 @@
 from enum import Enum
 
 from ..ids import DaemonId, DataCentre, Region, TargetId
-
-
-class TargetState(Enum):
-    """Announced state of a target."""
-
-    STARTING = "starting"
-    READY = "ready"
-    DRAINING = "draining"
+from .members import EndpointState
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,7 +20,7 @@
     daemon_id: DaemonId
     region: Region
     data_centre: DataCentre
-    state: TargetState
+    state: EndpointState
     slots: int
     ready_since: float
     reachable: bool
@@ -35,15 +28,18 @@
     @property
     def is_usable(self) -> bool:
         """Return whether new calls may be sent to the target."""
-        return self.state is TargetState.READY and self.reachable
+        return self.state is EndpointState.READY and self.reachable
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
-    """Load of a target as its host daemon reports it with an answer, in calls."""
+    """Load of a target, carried by the answers of its host daemon, in calls.
+
+    A target that takes no calls reports 0 slots.
+    """
 
     queued: int
-    busy: int
+    in_flight: int
     slots: int
 
 
--- a/src/cassiasail/_internal/transport/dispatch.py
+++ b/src/cassiasail/_internal/transport/dispatch.py
@@ -25,6 +25,9 @@
 
     async def send(self, host: DaemonId, head: CallHead, body: Body) -> CallResult:
         """Send one attempt to ``host``; its id is its peer address."""
+        if host == self._me:
+            answer = await self._hosted.serve(head, body)
+            return answer, self._hosted.report_for(head)
         try:
             async with asyncio.timeout(head.remaining + HOST_GRACE):
                 return await self._send(host, head, body)
@@ -35,9 +38,6 @@
             ), None
 
     async def _send(self, host: DaemonId, head: CallHead, body: Body) -> CallResult:
-        if host == self._me:
-            answer = await self._hosted.serve(head, body)
-            return answer, self._hosted.report_for(head)
         connection = await self._pool.connection_to(host)
         if connection is None:
             return Refusal(
--- a/src/cassiasail/_internal/transport/hosted_calls.py
+++ b/src/cassiasail/_internal/transport/hosted_calls.py
@@ -24,9 +24,10 @@
 from ..coordination.quarantine import Quarantine
 from ..ids import CustomerId, RoutePath, ServiceName, TargetId
 from ..protocol.answers import Answer, Body, BodyEnd, close_body, observe_end
-from ..protocol.frames import CallHead, LoadReport
+from ..protocol.frames import CallHead
 from ..state.lists import CallClass
 from ..state.refusals import Executed, Refusal, RefusalReason
+from ..state.targets import LoadReport
 from .target_http import TargetClient, TargetFailure
 
 # Targets that one daemon accepts; one VM runs one target, or two during a rollout.
@@ -116,16 +117,7 @@
     def report_for(self, head: CallHead) -> LoadReport | None:
         """Return the load of the target that a call went to."""
         local = self._local_by_id.get(TargetId(head.target))
-        if local is None:
-            return None
-        report = local.host.load_report()
-        position = [each.value for each in CallClass].index(head.call_class)
-        return LoadReport(
-            slots=report.slots,
-            in_flight=report.in_flight,
-            queued=report.queued,
-            expected_wait=min(report.expected_waits[position], 3600.0),
-        )
+        return None if local is None else local.host.load_report()
 
     def leave(self) -> None:
         """Refuse new calls from now on."""
--- a/src/cassiasail/_internal/transport/streams.py
+++ b/src/cassiasail/_internal/transport/streams.py
@@ -27,7 +27,6 @@
     EndFrame,
     Frame,
     HeadFrame,
-    LoadReport,
     ReplyFrame,
     RequestFrame,
     ResetFrame,
@@ -35,6 +34,7 @@
     encode_frame,
 )
 from ..state.refusals import Executed, Refusal, RefusalReason
+from ..state.targets import LoadReport
 
 
 class Socket(Protocol):
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -7,7 +7,8 @@
 
 from cassiasail._internal.coordination.balancer import SUBSET_SIZE
 from cassiasail._internal.ids import TargetId
-from cassiasail._internal.state.targets import Outcome, TargetState
+from cassiasail._internal.state.members import EndpointState
+from cassiasail._internal.state.targets import Outcome
 from devtools.balancer_world import SERVICE, BalancerWorld, run_balancer
 from devtools.bench_balancing import measure_balancing
 
@@ -25,10 +26,10 @@
 
     @rule(
         index=st.integers(0, 20),
-        state=st.sampled_from(TargetState),
+        state=st.sampled_from(EndpointState),
         reachable=st.booleans(),
     )
-    def change(self, index: int, state: TargetState, reachable: bool) -> None:
+    def change(self, index: int, state: EndpointState, reachable: bool) -> None:
         self.world.change(index, state, reachable)
 
     @rule(index=st.integers(0, 20))
--- a/tests/unit/test_frames.py
+++ b/tests/unit/test_frames.py
@@ -10,12 +10,12 @@
     CallHead,
     DataFrame,
     HeadFrame,
-    LoadReport,
     ResetFrame,
     decode_frame,
     encode_frame,
 )
 from cassiasail._internal.state.refusals import Executed, Refusal, RefusalReason
+from cassiasail._internal.state.targets import LoadReport
 from cassiasail.exceptions import ProtocolError
 
 HEAD = CallHead(
@@ -46,7 +46,7 @@
             headers=[("A", "b")],
             body_length=4,
             body=None,
-            report=LoadReport(slots=9, in_flight=1, queued=0, expected_wait=0.25),
+            report=LoadReport(slots=9, in_flight=1, queued=0),
         ),
         DataFrame(stream=3, data=b"x"),
         ResetFrame(
