Hold a call to its deadline until its answer is complete

The deadline ended with the head of the answer, so a target that stalled within the body held its slot and its in-flight permit for ever. The whole answer now has to arrive by then; a streamed one that does not is cut with its own reason.

--- a/src/cassiasail/_internal/transport/target_http.py
+++ b/src/cassiasail/_internal/transport/target_http.py
@@ -62,10 +62,11 @@
     async def send(
         self, address: str, head: CallHead, body: Body, remaining: float
     ) -> Answer | TargetFailure:
-        """Send one call; ``remaining`` is its time left in seconds."""
+        """Send one call; ``remaining`` is the time in seconds for its whole answer."""
         session = self._reusing if head.idempotent else self._fresh
+        end = asyncio.get_running_loop().time() + remaining
         try:
-            async with asyncio.timeout(remaining):
+            async with asyncio.timeout_at(end):
                 response = await session.request(
                     head.method,
                     URL(f"http://{address}{head.path}", encoded=True),
@@ -73,6 +74,7 @@
                     data=_request_body(body),
                     allow_redirects=False,
                 )
+                return await _answer(response, head.method, end)
         except aiohttp.ClientConnectorError as error:
             refused = isinstance(error.os_error, ConnectionRefusedError)
             return _failure(
@@ -87,19 +89,31 @@
             return _failure(CallOutcome.MALFORMED, error)
         except (aiohttp.ClientError, OSError) as error:
             return _failure(CallOutcome.RESET, error)
-        return await _answer(response, head.method)
 
 
 class _ResponseBody:
-    """The body of a target's answer, read as it arrives."""
+    """The body of a target's answer, read as it arrives.
 
-    def __init__(self, *, response: aiohttp.ClientResponse) -> None:
+    ``end`` is the deadline in loop time. The in-flight permit of the call ends with
+    it, so an answer that takes longer must not go on.
+    """
+
+    def __init__(self, *, response: aiohttp.ClientResponse, end: float) -> None:
         self._response = response
+        self._end = end
 
     async def read(self) -> bytes | None | Refusal:
         try:
-            part = await self._response.content.readany()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            async with asyncio.timeout_at(self._end):
+                part = await self._response.content.readany()
+        except TimeoutError:
+            self._response.close()
+            return Refusal(
+                reason=RefusalReason.DEADLINE_EXCEEDED,
+                executed=Executed.UNKNOWN,
+                detail="the answer was not complete by the deadline",
+            )
+        except (aiohttp.ClientError, OSError) as error:
             return Refusal(
                 reason=RefusalReason.SHORT_BODY,
                 executed=Executed.UNKNOWN,
@@ -133,9 +147,7 @@
     return session
 
 
-async def _answer(
-    response: aiohttp.ClientResponse, method: str
-) -> Answer | TargetFailure:
+async def _answer(response: aiohttp.ClientResponse, method: str, end: float) -> Answer:
     length = response.content_length
     # Some answers announce the length of a body that they do not carry.
     if method == "HEAD" or response.status in (204, 304):
@@ -146,12 +158,9 @@
             body_length=length,
             body=b"",
         )
-    body: Body = _ResponseBody(response=response)
+    body: Body = _ResponseBody(response=response, end=end)
     if length is not None and length <= INLINE_BODY:
-        try:
-            body = await response.read()
-        except (aiohttp.ClientError, OSError) as error:
-            return _failure(CallOutcome.RESET, error)
+        body = await response.read()
     return Answer(
         status=response.status,
         headers=_response_headers(response),
