--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,23 @@
 
 up: install
 	$(BIN)/python -m devtools.up --layout $(LAYOUT)
+
+# Every number of the requests: decisions on virtual time, then real processes.
+bench: install
+	$(BIN)/python -m devtools.bench_quotas
+	$(BIN)/python -m devtools.bench_overload
+	$(BIN)/python -m devtools.bench_balancing
+	$(BIN)/python -m devtools.bench_calls
+
+bench-fleet: install
+	$(BIN)/python -m devtools.bench_control
+	$(BIN)/python -m devtools.bench_fleet $(if $(BASE),--base $(BASE))
+
+SEED ?= 1
+STEPS ?= 20000
+
+fuzz: install
+	$(BIN)/python -m devtools.fuzz_quotas --seed $(SEED) --steps $(STEPS)
+	$(BIN)/python -m devtools.fuzz_hosting --seed $(SEED) --steps $(STEPS)
+	$(BIN)/python -m devtools.fuzz_entry --seed $(SEED) --steps $(STEPS)
+	$(BIN)/python -m devtools.fuzz_fleet --seed $(SEED) --steps $(STEPS)
