--- a/devtools/quota_world.py
+++ b/devtools/quota_world.py
@@ -179,7 +179,9 @@
 
     async def unpaused(self) -> None:
         while self.paused_until > self.world.loop.time():
-            await asyncio.sleep(self.paused_until - self.world.loop.time())
+            # A rest below the resolution of the loop's clock would not move time.
+            rest = self.paused_until - self.world.loop.time()
+            await asyncio.sleep(max(rest, 1e-6))
 
     async def handle(self, message: QuotaAsk | QuotaReturn) -> QuotaMessage:
         return await self.service.handle(message)
