--- a/src/cassiasail/_internal/coordination/attachment.py
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -211,6 +211,11 @@
         stays = set(self.relays) if candidates[0] in self.relays else {candidates[0]}
         if parent is not None and parent.daemon in stays:
             return
+        if parent is not None and parent.daemon not in candidates:
+            # It may hang below this daemon by now. What it sends still arrives for
+            # a while, so a change of parents loses nothing.
+            self._detach(parent)
+            parent = None
         for daemon in candidates:
             if parent is not None and daemon == parent.daemon:
                 return
@@ -279,7 +284,9 @@
             if record.data_centre in self._table.unreachable
         ]
         dead = [record.peer_addr for record in self._table.dead()]
+        held = known.union(cut, dead)
         unknown = [seed for seed in self._seeds if seed not in known]
+        unknown += [address for address in self._contacts if address not in held]
         # Without a parent that answers, anybody elsewhere may know a newer tree: the
         # chosen parent may have died together with all who observed it.
         others = [
--- a/src/cassiasail/_internal/coordination/store_tasks.py
+++ b/src/cassiasail/_internal/coordination/store_tasks.py
@@ -179,6 +179,8 @@
             self._searches = 0
             if self._attachment.is_head and len(self._table) > 1:
                 await self._write_contacts()
+            if self._attachment.is_root:
+                await self._look_for_others()
             return
         now = self._links.clock.now()
         if now < self._search_at:
@@ -192,6 +194,22 @@
             # Daemons whose seeds and contacts are all lost find each other here.
             await self._write_contacts()
 
+    async def _look_for_others(self) -> None:
+        """As root, read all contacts: daemons that joined elsewhere are unknown here.
+
+        Without a living seed, two groups can form around two directory rows.
+        """
+        now = self._links.clock.now()
+        if now < self._search_at:
+            return
+        self._search_at = now + self._links.rng.uniform(2.0, 4.0)
+        found = await self._store.scan(DIRECTORY_PREFIX)
+        if isinstance(found, StoreFailure):
+            return
+        self._attachment.add_contacts(
+            [a for row in found.values() for a in _addresses(row.value)]
+        )
+
     async def _find_contacts(self) -> None:
         key = directory_key(self._table.own.data_centre)
         rows = await self._store.read([key])
