--- a/devtools/up.py
+++ b/devtools/up.py
@@ -44,10 +44,8 @@
     )
     print(f"  .venv/bin/cassiasail status {where}")
     print(f"  .venv/bin/cassiasail explain {stream.customer} {stream.service} {where}")
-    print(f"  edit {lists}/plans.ini, then:")
-    print(
-        f"  .venv/bin/cassiasail apply {lists}/plans.ini {lists}/customers.ini {where}"
-    )
+    print(f"  edit {lists}/plans.ini, then, with the revision of the commit above:")
+    print(f"  .venv/bin/cassiasail apply {lists} --expect=REVISION {where}")
     print(f"  .venv/bin/cassiasail history {where}")
     print(f"logs are in {processes.directory}; press Ctrl-C to stop", flush=True)
 
