--- a/tests/functional/promises/test_versions.py
+++ b/tests/functional/promises/test_versions.py
@@ -14,7 +14,6 @@
 from cassiasail._internal.state import listcodec
 from cassiasail._internal.state.listcodec import HEAD_KEY, HeadRow, VersionRow
 from cassiasail._internal.state.lists import Lists, Snapshot, diff, lists_from_rows
-
 from devtools.quickstart import run_cli_checked
 
 from .fleet import Fleet
