--- /dev/null
+++ b/tests/functional/promises/test_malformed.py
@@ -0,0 +1,222 @@
+"""Malformed and oversized input from callers, targets and peers."""
+
+import asyncio
+import json
+from typing import Any
+
+import cbor2
+import pytest
+from pytest_bdd import parsers, scenarios, then, when
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from cassiasail._internal.protocol.frames import FrameType
+from devtools.layouts import Vm
+
+from .fleet import LIMIT, Fleet
+
+scenarios("malformed.feature")
+
+LOOKUP = (
+    b"GET /outlook-svc/outlooks/x HTTP/1.1\r\nHost: x\r\nCassiasail-Customer: desk\r\n"
+)
+ORDER = b"POST /array-ctl/orders/x HTTP/1.1\r\nHost: x\r\nCassiasail-Customer: desk\r\n"
+REQUESTS = {
+    "no HTTP at all": b"\x16\x03\x01\x02\x00\x01\x00\x01\r\n\r\n",
+    "a header line without colon": LOOKUP + b"nothing\r\n\r\n",
+    "a header of 100 KB": LOOKUP + b"A: " + b"a" * 100_000 + b"\r\n\r\n",
+    "a path that is not UTF-8": LOOKUP.replace(b"/x", b"/\xff\xfe") + b"\r\n",
+    "a customer that is not UTF-8": LOOKUP.replace(b"desk", b"\xff\xfe") + b"\r\n",
+    "a key that is not UTF-8": ORDER
+    + b"Idempotency-Key: \xff\xfe\r\nContent-Length: 0\r\n\r\n",
+    "two lengths": ORDER + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    "a body above its limit": ORDER
+    + b"Idempotency-Key: a\r\nContent-Length: 3000000\r\n\r\n",
+    "a body cut short": ORDER + b"Idempotency-Key: a\r\nContent-Length: 9\r\n\r\nab",
+}
+GOOD = {"service": "s", "port": 1, "slots": 1, "state": "ready", "started": 1.0}
+ANNOUNCEMENTS = {
+    "no JSON": b"slots=9",
+    "a JSON list": b"[1]",
+    "a port that is text": json.dumps({**GOOD, "port": "x"}).encode(),
+    "endless slots": json.dumps({**GOOD, "slots": 1e999}).encode(),
+    "a body of 4 MB": b" " * 4_000_000,
+    "deeply nested JSON": b"[" * 100_000,
+}
+
+
+def head_frame(**changes: Any) -> bytes:
+    """Return a HEAD frame for a target that the receiver does not have."""
+    fields = {
+        "target": "none",
+        "service": "s",
+        "route": "/",
+        "customer": "c",
+        "call_class": "lookup",
+        "method": "GET",
+        "path": "/",
+        "headers": [],
+        "remaining": 1.0,
+        "attempt": 1,
+        "depth": 0,
+        "fingerprint": b"",
+        "idempotent": True,
+        "body_length": 0,
+    }
+    unknown = changes.keys() - fields.keys()
+    assert not unknown, unknown
+    return cbor2.dumps([FrameType.HEAD, 1, list((fields | changes).values()), b""])
+
+
+MESSAGES: dict[str, bytes | str] = {
+    "random bytes": bytes(range(255, 155, -1)),
+    "text": "text",
+    "deeply nested CBOR": b"\x81" * 200_000,
+    "an unknown frame type": cbor2.dumps([99, 1]),
+    "a frame of 2 MB": cbor2.dumps([FrameType.DATA, 1, bytes(2_000_000)]),
+    "a fingerprint of 8 EB": head_frame(fingerprint=2**63 - 1),
+    "an unknown call class": head_frame(call_class="urgent"),
+    "an infinite attempt": head_frame(attempt=float("inf")),
+    "a line break in a header": head_frame(headers=[["A", "b\r\nC: d"]]),
+    "a message of 65 MB": bytes(65 * 1024 * 1024),
+    "anything": b"x",
+}
+
+
+@pytest.fixture
+def vm(fleet: Fleet) -> Vm:
+    return next(vm for vm in fleet.vms if vm.service == "outlook-svc")
+
+
+async def raw(vm: Vm, request: bytes) -> int | None:
+    """Send bytes as they are; return the status, None if the connection closed."""
+    host, _, port = vm.http.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(request)
+        writer.write_eof()
+        line = await asyncio.wait_for(reader.readline(), LIMIT)
+    except ConnectionError:
+        return None
+    finally:
+        writer.close()
+    return int(line.split()[1]) if line else None
+
+
+async def refused_by_metric(fleet: Fleet, vm: Vm) -> dict[str, float]:
+    names = ("cassiasail_calls_refused_total", "cassiasail_messages_refused_total")
+    return {name: await fleet.metric(vm, name) for name in names}
+
+
+@pytest.fixture
+def before(fleet: Fleet, vm: Vm) -> dict[str, float]:
+    return fleet.run(refused_by_metric(fleet, vm))
+
+
+@when(parsers.parse("a caller sends {request}"))
+def caller_sends(
+    fleet: Fleet, vm: Vm, before: dict[str, float], seen: dict[str, Any], request: str
+) -> None:
+    seen["status"] = fleet.run(raw(vm, REQUESTS[request]))
+
+
+@when(parsers.parse("a target announces itself with {body}"))
+def target_announces(
+    fleet: Fleet, vm: Vm, before: dict[str, float], seen: dict[str, Any], body: str
+) -> None:
+    data = ANNOUNCEMENTS[body]
+    head = (
+        f"PUT /_cassiasail/targets/t HTTP/1.1\r\nHost: x\r\nContent-Length: {len(data)}"
+    )
+    seen["status"] = fleet.run(raw(vm, head.encode() + b"\r\n\r\n" + data))
+
+
+@when(parsers.parse("a peer sends {message} on its {link} link"))
+def peer_sends(
+    fleet: Fleet,
+    vm: Vm,
+    before: dict[str, float],
+    seen: dict[str, Any],
+    message: str,
+    link: str,
+) -> None:
+    async def work() -> bool:
+        headers = {
+            "Cassiasail-Daemon": "127.0.0.1:1",
+            "Cassiasail-Region": vm.region,
+        }
+        url = f"ws://{vm.peer}/{link}"
+        async with connect(
+            url, additional_headers=headers, compression=None, proxy=None
+        ) as connection:
+            try:
+                await connection.send(MESSAGES[message])
+                async with asyncio.timeout(LIMIT):
+                    while True:
+                        await connection.recv()
+            except ConnectionClosed:
+                return True
+            except TimeoutError:
+                return False
+
+    seen["closed"] = fleet.run(work())
+
+
+@when(parsers.parse("a call goes to {service} {path} as {customer}"))
+def unknown_call(
+    fleet: Fleet,
+    vm: Vm,
+    before: dict[str, float],
+    seen: dict[str, Any],
+    service: str,
+    path: str,
+    customer: str,
+) -> None:
+    async def work() -> None:
+        seen["executed"] = [
+            (await fleet.target(each))["executed"] for each in fleet.vms
+        ]
+        url = f"/{service}{path}"
+        seen["result"] = await fleet.send(vm, "POST", url, customer=customer)
+
+    fleet.run(work())
+
+
+@then(parsers.parse("it is refused with status {status:d} or its connection is closed"))
+def refused(seen: dict[str, Any], status: int) -> None:
+    assert seen["status"] in (status, None)
+
+
+@then("the peer's connection is closed")
+def closed(seen: dict[str, Any]) -> None:
+    assert seen["closed"]
+
+
+@then(parsers.parse('the refusal is counted in "{name}"'))
+def counted(fleet: Fleet, vm: Vm, before: dict[str, float], name: str) -> None:
+    async def grown() -> bool:
+        return (await refused_by_metric(fleet, vm))[name] > before[name]
+
+    fleet.run(fleet.wait(grown, limit=5.0))
+
+
+@then(parsers.parse('it is refused as "{reason}", executed "{executed}", and counted'))
+def refused_call(
+    fleet: Fleet,
+    vm: Vm,
+    before: dict[str, float],
+    seen: dict[str, Any],
+    reason: str,
+    executed: str,
+) -> None:
+    result = seen["result"]
+    assert (result.outcome, result.executed) == (reason, executed)
+    counted(fleet, vm, before, "cassiasail_calls_refused_total")
+
+
+@then("no target has run it")
+def not_run(fleet: Fleet, seen: dict[str, Any]) -> None:
+    async def work() -> list[int]:
+        return [(await fleet.target(vm))["executed"] for vm in fleet.vms]
+
+    assert fleet.run(work()) == seen["executed"]
