--- a/src/cassiasail/_internal/coordination/quota_exchange.py
+++ b/src/cassiasail/_internal/coordination/quota_exchange.py
@@ -130,7 +130,7 @@
         if grant.holding.key in self._waiters_by_key:
             self._serve(grant.holding)
 
-    async def run_once(self) -> None:
+    def tick(self) -> None:
         """Prefetch for recent use and send reports; to be run about every 100 ms."""
         self._cache.sweep()
         for key, holding in self._cache.holding_by_key.items():
--- a/src/cassiasail/_internal/coordination/quota_service.py
+++ b/src/cassiasail/_internal/coordination/quota_service.py
@@ -92,7 +92,7 @@
         news = directory.rows() if directory.digest > message.known else ()
         return QuotaGrant(owned=True, lines=tuple(lines), owners=news)
 
-    async def run_once(self) -> None:
+    def tick(self) -> None:
         """Pass on reports, forget idle buckets and old hints; about every 100 ms."""
         for shard in list(self._leases.shard_by_id):
             owned = self._leases.usable(shard)
