Refuse and count malformed requests of callers and targets

What the HTTP parser rejects was answered by the library with plain text and not counted, nor was an announcement above 1 MiB. Deeply nested JSON and a path or key that is not UTF-8 ended in an uncounted status 500. All of these are now problems with executed "no" and are counted; a caller that goes away before its answer is counted as cancelled.

--- a/src/cassiasail/_internal/transport/entry_http.py
+++ b/src/cassiasail/_internal/transport/entry_http.py
@@ -4,6 +4,7 @@
 route table, so aiohttp's own router would only add time to each call.
 """
 
+import asyncio
 import hashlib
 import json
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,7 @@
 from ..protocol.frames import Headers
 from ..protocol.problems import PROBLEM_CONTENT_TYPE, problem_body, status_of
 from ..state.refusals import Executed, Refusal, RefusalReason
+from .http_server import HttpServer
 
 ANNOUNCE_PREFIX = "/_cassiasail/targets/"
 # Bodies up to this size are read before the call is routed, so that the call can be
@@ -67,8 +69,9 @@
 
     async def start(self, address: str) -> None:
         """Listen on ``address`` (``host:port``)."""
-        server = web.Server(
+        server = HttpServer(
             self._handle,
+            refuse=self._refuse,
             access_log=None,
             max_line_size=MAX_HEADER_FIELD,
             max_field_size=MAX_HEADER_FIELD,
@@ -94,10 +97,18 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith(ANNOUNCE_PREFIX):
             return await self._handle_announcement(request)
-        call = await self._read_call(request)
-        if isinstance(call, Refusal):
-            return self._refuse(call)
-        answer = await self._handle_call(call)
+        executed = Executed.NO
+        try:
+            call = await self._read_call(request)
+            if isinstance(call, Refusal):
+                return self._refuse(call)
+            executed = Executed.UNKNOWN
+            answer = await self._handle_call(call)
+        except asyncio.CancelledError:
+            # The caller has gone away: nobody is told, so it is only counted.
+            reason = RefusalReason.CANCELLED.value
+            metrics.CALLS_REFUSED.labels(reason, executed.value).inc()
+            raise
         if isinstance(answer, Refusal):
             return self._refuse(answer)
         try:
@@ -109,6 +120,9 @@
         service, _, rest = request.raw_path[1:].partition("/")
         if not service:
             return _malformed("the path must be /SERVICE/path")
+        headers = _forwarded_headers(request)
+        if not _is_encodable(request.raw_path, headers):
+            return _malformed("path and headers must be UTF-8")
         body = await self._read_body(request)
         if isinstance(body, Refusal):
             return body
@@ -117,7 +131,7 @@
             service=service,
             method=request.method,
             path=f"/{rest}",
-            headers=_forwarded_headers(request),
+            headers=headers,
             body=body,
             body_length=len(body) if isinstance(body, bytes) else _length(request),
             body_digest=_digest(body),
@@ -201,7 +215,9 @@
             return self._refuse(_malformed(f"use PUT {ANNOUNCE_PREFIX}ID"))
         try:
             body = json.loads(await request.read())
-        except ValueError:
+        except web.HTTPRequestEntityTooLarge:
+            return self._refuse(_too_large(BUFFERED_BODY))
+        except (ValueError, RecursionError):
             return self._refuse(_malformed("the announcement is not JSON"))
         if not isinstance(body, dict):
             return self._refuse(_malformed("the announcement is not a JSON object"))
@@ -222,6 +238,19 @@
     ]
 
 
+def _is_encodable(path: str, headers: Headers) -> bool:
+    """Return whether neither holds bytes that the parser could not decode."""
+    if path.isascii() and all(value.isascii() for _, value in headers):
+        return True
+    try:
+        path.encode()
+        for _, value in headers:
+            value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _digest(body: Body) -> bytes | None:
     if not isinstance(body, bytes):
         return None
