Refuse and count malformed and oversized peer frames

A fingerprint given as a number was turned into that many zero bytes; an infinite attempt raised OverflowError past the decoder; an unknown call class or a line end in a header failed in the task of the call, so that the peer waited for its deadline. A frame above 1 MiB was accepted on incoming call connections, since both kinds of links share one listener, and messages refused by the websocket library were not counted.

--- a/src/cassiasail/_internal/protocol/frames.py
+++ b/src/cassiasail/_internal/protocol/frames.py
@@ -6,6 +6,8 @@
 the total number of bytes.
 """
 
+import math
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -14,6 +16,7 @@
 import cbor2
 
 from ...exceptions import ProtocolError
+from ..state.lists import CallClass
 from ..state.refusals import Executed, Refusal, RefusalReason
 from ..state.targets import LoadReport
 
@@ -25,6 +28,9 @@
 STREAM_CREDIT = 256 * 1024
 MAX_FRAME = 1024 * 1024
 
+_LINE_END = re.compile(r"[\r\n\0]")
+_CALL_CLASSES = frozenset(each.value for each in CallClass)
+
 Headers = list[tuple[str, str]]
 
 
@@ -171,7 +177,15 @@
     except ProtocolError:
         raise
     # The decoder raises many types for malformed input; none may escape.
-    except (cbor2.CBORDecodeError, LookupError, TypeError, ValueError) as error:
+    except (
+        cbor2.CBORDecodeError,
+        LookupError,
+        TypeError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+        MemoryError,
+    ) as error:
         raise ProtocolError(f"malformed frame: {error!r}") from None
 
 
@@ -252,14 +266,14 @@
         service=_text(service),
         route=_text(route),
         customer=_text(customer),
-        call_class=_text(call_class),
-        method=_text(method),
-        path=_text(path),
-        headers=_headers(headers),
-        remaining=float(remaining),
+        call_class=_call_class(call_class),
+        method=_field(method),
+        path=_field(path),
+        headers=[(_field(name), _field(value)) for name, value in headers],
+        remaining=_seconds(remaining),
         attempt=int(attempt),
         depth=int(depth),
-        fingerprint=bytes(fingerprint),
+        fingerprint=_bytes(fingerprint),
         idempotent=bool(idempotent),
         body_length=None if body_length is None else _count(body_length),
     )
@@ -309,6 +323,27 @@
     return value
 
 
+def _field(value: Any) -> str:
+    """Return text that may stand in the head of an HTTP request."""
+    text = _text(value)
+    if _LINE_END.search(text):
+        raise ProtocolError("line end within a header, method or path")
+    return text
+
+
+def _call_class(value: Any) -> str:
+    if value not in _CALL_CLASSES:
+        raise ProtocolError(f"unknown call class {value!r}")
+    return str(value)
+
+
+def _seconds(value: Any) -> float:
+    seconds = float(value)
+    if not 0 <= seconds < math.inf:
+        raise ProtocolError("expected a time in seconds")
+    return seconds
+
+
 def _bytes(value: Any) -> bytes:
     if not isinstance(value, bytes):
         raise ProtocolError(f"expected bytes, got {type(value).__name__}")
--- a/src/cassiasail/_internal/transport/peers.py
+++ b/src/cassiasail/_internal/transport/peers.py
@@ -36,6 +36,8 @@
 # Control messages waiting on one link; a peer this slow is disconnected.
 MAX_CONTROL_QUEUE = 1000
 DIAL_TIMEOUT = 1.0  # seconds
+# Close codes of RFC 6455: protocol error, invalid data, message too big.
+REFUSING_CODES = frozenset((1002, 1007, 1009))
 CALL_IDLE_TIME = 60.0  # seconds until an unused call connection is closed
 
 
@@ -78,7 +80,10 @@
         """Return the next message, or None once the connection is closed."""
         try:
             data = await self._connection.recv(decode=False)
-        except ConnectionClosed:
+        except ConnectionClosed as closed:
+            # Sent by this side only in answer to what the peer did wrong.
+            if closed.sent is not None and closed.sent.code in REFUSING_CODES:
+                metrics.MESSAGES_REFUSED.labels(f"closed_{closed.sent.code}").inc()
             return None
         self._received.inc(framed_size(len(data)))
         return data if isinstance(data, bytes) else bytes(data)
--- a/src/cassiasail/_internal/transport/streams.py
+++ b/src/cassiasail/_internal/transport/streams.py
@@ -18,6 +18,7 @@
 from ..protocol.frames import (
     DATA_PART,
     INLINE_BODY,
+    MAX_FRAME,
     STREAM_CREDIT,
     AnswerFrame,
     CallHead,
@@ -210,6 +211,8 @@
         """Read frames until the connection closes."""
         try:
             while (data := await self._socket.recv()) is not None:
+                if len(data) > MAX_FRAME:
+                    raise ProtocolError(f"a frame of {len(data)} bytes")
                 self._receive(decode_frame(data))
         except ProtocolError as error:
             metrics.MESSAGES_REFUSED.labels("malformed_frame").inc()
