--- a/src/cassiasail/_internal/coordination/router.py
+++ b/src/cassiasail/_internal/coordination/router.py
@@ -310,11 +310,7 @@
         )
         invariants.check(
             "second_dispatch_only_if_safe",
-            attempts.tries == 1
-            or routed.is_idempotent
-            or claimed is None
-            # A claim refuses a dispatch while an earlier one may have run.
-            or claimed.may_dispatch(),
+            routed.is_idempotent or not attempts.may_have_run,
         )
         if claimed is not None:
             claimed.dispatched()
--- a/src/cassiasail/_internal/daemon.py
+++ b/src/cassiasail/_internal/daemon.py
@@ -13,10 +13,11 @@
 from .settings import Settings, load
 
 EXIT_SETTINGS = 1
+EXIT_FAILED = 3
 
 
-async def run(settings: Settings) -> None:
-    """Run one daemon until SIGTERM or SIGINT, then drain."""
+async def run(settings: Settings) -> bool:
+    """Run one daemon until SIGTERM or SIGINT, then drain; false after a fault."""
     runtime = Runtime(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -26,6 +27,7 @@
     await runtime.stopping.wait()
     await runtime.drain()
     await runtime.stop()
+    return not runtime.failed
 
 
 def main() -> None:
@@ -46,7 +48,9 @@
         print("the settings are valid")
         return
     logging.set_verbosity(logging.INFO)
-    asyncio.run(run(settings))
+    if not asyncio.run(run(settings)):
+        # A supervisor that restarts only after failures must restart it.
+        sys.exit(EXIT_FAILED)
 
 
 if __name__ == "__main__":
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -82,7 +82,7 @@
 )
 CALL_SECONDS = Histogram(
     "cassiasail_call_seconds",
-    "Time from the head of a call to the end of its answer.",
+    "Time from the grant of its allowance to the end of a call.",
     ["service"],
     registry=REGISTRY,
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
--- a/src/cassiasail/_internal/protocol/problems.py
+++ b/src/cassiasail/_internal/protocol/problems.py
@@ -22,6 +22,7 @@
     RefusalReason.PEER_LOST: 502,
     RefusalReason.TARGET_FAILED: 502,
     RefusalReason.SHORT_BODY: 502,
+    RefusalReason.TOO_DEEP: 508,
     RefusalReason.CANCELLED: 499,
     RefusalReason.INTERNAL: 500,
 }
--- a/src/cassiasail/_internal/runtime.py
+++ b/src/cassiasail/_internal/runtime.py
@@ -88,6 +88,8 @@
         self._stopped = False
         self._listener: Server | None = None
         self.stopping = asyncio.Event()
+        # Set when the daemon stops because of a fault of its own.
+        self.failed = False
 
     async def start(self) -> None:
         """Open the listeners, then join the fleet."""
@@ -304,7 +306,11 @@
             # A daemon without one of its loops would decay silently; a restart is
             # the safe state.
             logging.error("background task failed", exc_info=task.exception())
-            self.stopping.set()
+            self._fail()
+
+    def _fail(self) -> None:
+        self.failed = True
+        self.stopping.set()
 
     def _tick(self) -> None:
         """Do all periodic work.
@@ -325,7 +331,7 @@
             # A daemon whose periodic work fails would decay silently; a restart is
             # the safe state.
             logging.exception("periodic work failed")
-            self.stopping.set()
+            self._fail()
         self.version_times.note()
         self._ticks += 1
         if self._ticks % POLL_TICKS == 0 and self.control.attachment.is_poller:
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -240,3 +240,18 @@
         await loop
 
     asyncio.run(main())
+
+
+def test_fault_of_the_host_ends_the_call_as_unknown() -> None:
+    """Guards against a call without any answer after a fault inside the host daemon."""
+
+    async def broken(head: CallHead, body: Body) -> Answer | Refusal:
+        raise RuntimeError("a fault of the test")
+
+    async def use(client: CallConnection, far: MemorySocket) -> None:
+        result, _ = await client.call(HEAD, b"")
+        assert isinstance(result, Refusal)
+        assert result.reason is RefusalReason.INTERNAL
+        assert result.executed is Executed.UNKNOWN
+
+    run_pair(broken, use)
