--- a/devtools/layouts.py
+++ b/devtools/layouts.py
@@ -44,7 +44,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Layout:
-    """A deployment; ``region_delay_ms`` is one way, ``region_mbit`` for the region."""
+    """A deployment; ``region_delay_ms`` is one way.
+
+    Each process may use the whole ``region_mbit``: one relay carries the control
+    traffic of its region, and an equal share would slow it down for nothing.
+    """
 
     name: str
     vms: tuple[Vm, ...]
@@ -60,7 +64,6 @@
     def settings_of(self, vm: Vm, *, seeds: int = 3, extra: str = "") -> str:
         """Return the INI settings of the daemon on ``vm``."""
         others = [other.peer for other in self.vms if other is not vm]
-        in_region = sum(1 for other in self.vms if other.region == vm.region)
         return f"""\
 [daemon]
 region = {vm.region}
@@ -76,7 +79,7 @@
 seeds = {", ".join(others[:seeds])}
 [emulation]
 region_delay_ms = {self.region_delay_ms}
-region_mbit = {self.region_mbit / in_region}
+region_mbit = {self.region_mbit}
 {extra}"""
 
 
--- a/src/cassiasail/_internal/transport/streams.py
+++ b/src/cassiasail/_internal/transport/streams.py
@@ -433,7 +433,7 @@
 
     async def _serve(self, frame: HeadFrame, body: Body, call: _IncomingCall) -> None:
         try:
-            answer = await self._serve_call(frame.head, body)
+            answer = await self._serve_safely(frame.head, body)
             report = self._report_for(frame.head)
             if isinstance(answer, Refusal):
                 await self._send(
@@ -447,6 +447,14 @@
         finally:
             self._incoming_by_stream.pop(frame.stream, None)
 
+    async def _serve_safely(self, head: CallHead, body: Body) -> Answer | Refusal:
+        try:
+            return await self._serve_call(head, body)
+        except Exception:
+            # Without an answer the caller would wait until its deadline.
+            logging.exception("a call failed inside the daemon")
+            return Refusal(reason=RefusalReason.INTERNAL, executed=Executed.UNKNOWN)
+
     async def _send_answer(
         self,
         stream: int,
