--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	$(BIN)/python -m devtools.bench_calls
 
 bench-fleet: install
+	$(BIN)/python -m devtools.bench_memory
 	$(BIN)/python -m devtools.bench_control
 	$(BIN)/python -m devtools.bench_fleet $(if $(BASE),--base $(BASE))
 
--- a/tests/functional/promises/settings.feature
+++ b/tests/functional/promises/settings.feature
@@ -19,7 +19,7 @@
       | data_centre = kzn-1  | data_centre = kzn-9   | fleet     | data_centres    | kzn-9       |
       | data_centre = kzn-1  | data_center = kzn-1   | daemon    | data_center     | kzn-1       |
       | data_centre = kzn-1  | data_center = kzn-1   | daemon    | data_centre     | absent      |
-      | region_mbit = 30     | region_mbit = nan     | emulation | region_mbit     | nan         |
+      | region_mbit = 30.0     | region_mbit = nan     | emulation | region_mbit     | nan         |
       | [fleet]              | [flet]                | flet      | flet            | flet        |
 
   Scenario: All faults are shown at once
