--- a/src/cassiasail/_internal/coordination/attachment.py
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -47,7 +47,8 @@
         self._contacts: list[str] = []
         self._lonely_since = links.clock.now()
         self._probed_at = -1e9
-        self._heal_round = 0
+        # Daemons start at different places of lists that are often the same.
+        self._heal_round = links.rng.randrange(1 << 16)
         self._alone_poll_at = -1e9
         # When this daemon last had a parent or needed none.
         self._attached_at = links.clock.now()
@@ -301,7 +302,9 @@
             dead = []
         for addresses in (cut, dead, unknown, others):
             if addresses:
-                self._dialer.dial(self._links.rng.choice(addresses))
+                # In turn and not at random: with many lost addresses a random choice
+                # may miss the living one for a long time.
+                self._dialer.dial(addresses[self._heal_round % len(addresses)])
 
 
 def _place(record: MemberRecord) -> tuple[MemberState, DataCentre, Region]:
--- /dev/null
+++ b/tests/unit/test_attachment.py
@@ -0,0 +1,69 @@
+"""How a daemon without a parent looks for the rest of the fleet."""
+
+import random
+
+from cassiasail._internal.coordination import topology
+from cassiasail._internal.coordination.control import ControlPlane
+from cassiasail._internal.coordination.links import ControlOptions
+from cassiasail._internal.ids import NO_VERSION, DaemonId, DataCentre, Region
+from cassiasail._internal.protocol.messages import PROTOCOL, Attach, Hello, Pong
+from cassiasail._internal.state.members import MemberRecord, MemberTable
+from cassiasail._internal.state.versions import VersionedLists
+from tests.lib.clocks import VirtualClock
+from tests.lib.fakestore import FakeStore
+
+
+def record(address: str) -> MemberRecord:
+    return MemberRecord(
+        id=DaemonId(address),
+        incarnation=1,
+        sequence=0,
+        region=Region("north"),
+        data_centre=DataCentre("north-1"),
+        peer_addr=address,
+        http_addr=address,
+        admin_addr=address,
+    )
+
+
+def test_each_contact_is_probed_in_turn() -> None:
+    """Guards against a split that lasts because lost contacts are probed again and
+    again while the living one waits; seen for 10 s with one living contact of six."""
+    clock = VirtualClock()
+    # A head has no parent below it to turn to.
+    other, head = sorted(
+        (DaemonId("10.0.0.1:7000"), DaemonId("10.0.0.2:7000")),
+        key=lambda daemon: topology.rank("head", daemon),
+    )
+    table = MemberTable(own=record(head))
+    table.merge(record(other), now=clock.now())
+    contacts = [f"10.0.1.{number}:7000" for number in range(12)]
+    dialed: list[str] = []
+    control = ControlPlane(
+        table=table,
+        lists=VersionedLists(),
+        clock=clock,
+        rng=random.Random(5),
+        options=ControlOptions(),
+        seeds=contacts,
+        store_region=Region("north"),
+        store=FakeStore(clock=clock),
+        send=lambda link, message: None,
+        dial=dialed.append,
+        hang_up=lambda link: None,
+    )
+    # The other member lives and is the child, so the daemon is not alone.
+    control.link_opened("link", None)
+    control.receive("link", Hello(PROTOCOL, record(other), NO_VERSION, 0, {}))
+    control.receive("link", Attach(True))
+    failed = 0
+    for _ in range(14 * 20):
+        clock.advance(0.05)
+        control.receive("link", Pong())
+        control.tick()
+        for address in dialed[failed:]:
+            control.dial_failed(address)
+        failed = len(dialed)
+    assert len(table) == 2
+    assert control.attachment.is_head
+    assert set(contacts) <= set(dialed)
