Split bodies from streams; disconnect a peer that ignores its credit

A peer that sent more data than it was granted could fill the memory of the daemon. The received bytes are now checked against the credit; a test sends one part too many.

--- a/src/cassiasail/_internal/transport/streams.py
+++ b/src/cassiasail/_internal/transport/streams.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import itertools
-from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -19,7 +18,6 @@
     DATA_PART,
     INLINE_BODY,
     MAX_FRAME,
-    STREAM_CREDIT,
     AnswerFrame,
     CallHead,
     CancelFrame,
@@ -36,6 +34,7 @@
 )
 from ..state.refusals import Executed, Refusal, RefusalReason
 from ..state.targets import LoadReport
+from .bodies import BytesReader, Credit, ReceivedBody
 
 
 class Socket(Protocol):
@@ -63,99 +62,13 @@
     )
 
 
-class ReceivedBody:
-    """A body that arrives in DATA frames; grants credit as it is read."""
-
-    def __init__(
-        self,
-        *,
-        stream: int,
-        announced: int | None,
-        send: Callable[[Frame], Awaitable[bool]],
-        stop: Callable[[], None],
-    ) -> None:
-        self._stream = stream
-        self._announced = announced
-        self._send = send
-        self._stop = stop
-        self._parts: deque[bytes] = deque()
-        self._received = 0
-        self._unacknowledged = 0
-        self._end: Refusal | None = None
-        self.ended = False
-        self._changed = asyncio.Event()
-
-    def add(self, data: bytes) -> None:
-        """Queue a part that arrived."""
-        if self.ended:
-            metrics.FRAMES_DROPPED.labels("after_end").inc()
-            return
-        self._received += len(data)
-        self._parts.append(data)
-        self._changed.set()
-
-    def finish(self, total: int) -> None:
-        """Note the end; a byte count that differs makes the body cut."""
-        expected = total if self._announced is None else self._announced
-        if total != self._received or total != expected:
-            self.fail(_short_body(self._received, expected))
-            return
-        self.ended = True
-        self._changed.set()
-
-    def fail(self, refusal: Refusal) -> None:
-        """Note that the rest will not come."""
-        if not self.ended:
-            self._end = refusal
-            self.ended = True
-            self._changed.set()
-
-    async def read(self) -> bytes | None | Refusal:
-        while not self._parts and not self.ended:
-            self._changed.clear()
-            await self._changed.wait()
-        if not self._parts:
-            return self._end
-        part = self._parts.popleft()
-        self._unacknowledged += len(part)
-        if self._unacknowledged >= STREAM_CREDIT // 2 and not self.ended:
-            count, self._unacknowledged = self._unacknowledged, 0
-            await self._send(CreditFrame(stream=self._stream, count=count))
-        return part
-
-    def close(self) -> None:
-        if not self.ended:
-            self.fail(
-                Refusal(reason=RefusalReason.CANCELLED, executed=Executed.UNKNOWN)
-            )
-            self._stop()
-
-
-class _Credit:
-    """Bytes that may still be sent on a stream."""
-
-    def __init__(self) -> None:
-        self._left = STREAM_CREDIT
-        self._changed = asyncio.Event()
-
-    def add(self, count: int) -> None:
-        self._left += count
-        self._changed.set()
-
-    async def take(self, count: int) -> None:
-        while self._left < count:
-            self._changed.clear()
-            await self._changed.wait()
-        self._left -= count
-
-
 class _OutgoingCall:
     """A call sent to the other daemon."""
 
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
         self.answered: asyncio.Future[AnswerFrame | ResetFrame] = loop.create_future()
-        self.credit = _Credit()
+        self.credit = Credit()
         self.body: ReceivedBody | None = None
         self.sender: asyncio.Task[None] | None = None
 
@@ -165,7 +78,7 @@
 
     def __init__(self) -> None:
         self.task: asyncio.Task[None] | None = None
-        self.credit = _Credit()
+        self.credit = Credit()
         self.body: ReceivedBody | None = None
 
 
@@ -233,7 +146,7 @@
         try:
             inline = body if isinstance(body, bytes) else None
             if inline is not None and len(inline) > INLINE_BODY:
-                body, inline = _BytesReader(inline), None
+                body, inline = BytesReader(inline), None
             if not await self._send(HeadFrame(stream=stream, head=head, body=inline)):
                 return peer_lost(Executed.UNKNOWN), None
             if inline is None and not isinstance(body, bytes):
@@ -319,14 +232,14 @@
         await self._send(CancelFrame(stream=stream))
 
     async def _send_request_body(
-        self, stream: int, body: BodyReader, credit: _Credit
+        self, stream: int, body: BodyReader, credit: Credit
     ) -> None:
         cut = await self._send_parts(stream, body, credit)
         if cut is not None:
             await self._send(CancelFrame(stream=stream))
 
     async def _send_parts(
-        self, stream: int, body: BodyReader, credit: _Credit
+        self, stream: int, body: BodyReader, credit: Credit
     ) -> Refusal | None:
         total = 0
         while True:
@@ -465,7 +378,7 @@
         body: Body = answer.body
         inline = body if isinstance(body, bytes) else None
         if inline is not None and len(inline) > INLINE_BODY:
-            body, inline = _BytesReader(inline), None
+            body, inline = BytesReader(inline), None
         await self._send(
             AnswerFrame(
                 stream=stream,
@@ -501,25 +414,3 @@
         # The callers of these calls are gone; nobody can receive their answers.
         for task in list(self._tasks):
             task.cancel()
-
-
-class _BytesReader:
-    """A body that is already complete."""
-
-    def __init__(self, data: bytes) -> None:
-        self._data: bytes | None = data
-
-    async def read(self) -> bytes | None | Refusal:
-        data, self._data = self._data, None
-        return data
-
-    def close(self) -> None:
-        self._data = None
-
-
-def _short_body(received: int, expected: int) -> Refusal:
-    return Refusal(
-        reason=RefusalReason.SHORT_BODY,
-        executed=Executed.UNKNOWN,
-        detail=f"{received} of {expected} bytes arrived",
-    )
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -10,6 +10,8 @@
 
 from cassiasail._internal.protocol.answers import Answer, Body
 from cassiasail._internal.protocol.frames import (
+    DATA_PART,
+    STREAM_CREDIT,
     AnswerFrame,
     CallHead,
     DataFrame,
@@ -255,3 +257,30 @@
         assert result.executed is Executed.UNKNOWN
 
     run_pair(broken, use)
+
+
+def test_peer_that_ignores_its_credit_is_disconnected() -> None:
+    """Guards against a peer that fills the memory of the daemon."""
+    near = MemorySocket()
+    near.other = MemorySocket()
+
+    async def main() -> None:
+        client = connection(near)
+        loop = asyncio.create_task(client.run())
+        call = asyncio.create_task(client.call(HEAD, b""))
+        while not near.sent:
+            await asyncio.sleep(0)
+        head = AnswerFrame(
+            stream=1, status=200, headers=[], body_length=None, body=None, report=None
+        )
+        near.inbox.put_nowait(encode_frame(head))
+        part = encode_frame(DataFrame(stream=1, data=bytes(DATA_PART)))
+        for _ in range(STREAM_CREDIT // DATA_PART + 1):
+            near.inbox.put_nowait(part)
+        await loop
+        assert client.closed
+        answer, _ = await call
+        assert isinstance(answer, Answer)
+        assert isinstance(await read_all(answer.body), Refusal)
+
+    asyncio.run(main())
