--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(BIN)/pip install --quiet --editable '.[dev]'
 	touch $@
 
-test: install lint types unit known-red
+test: install lint types known-red unit
 
 lint: install
 	$(BIN)/ruff format --check .
