--- a/src/cassiasail/_internal/coordination/retries.py
+++ b/src/cassiasail/_internal/coordination/retries.py
@@ -84,10 +84,6 @@
     attempt: int
     depth: int
 
-    def remaining_ms(self, now: float) -> int:
-        """Return the value of the deadline header for the next hop."""
-        return max(0, int((self.deadline - now) * 1000))
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryCase:
--- a/src/cassiasail/_internal/protocol/headers.py
+++ b/src/cassiasail/_internal/protocol/headers.py
@@ -1,5 +1,7 @@
 """Names of the HTTP headers that callers, daemons and targets exchange."""
 
+from collections.abc import Iterable
+
 CUSTOMER = "Cassiasail-Customer"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 # Remaining time in milliseconds, not a point in time: clocks of VMs differ.
@@ -23,3 +25,8 @@
         "expect",
     )
 )
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers that are passed on, without those of one connection."""
+    return [(name, value) for name, value in headers if name.lower() not in HOP_BY_HOP]
--- a/src/cassiasail/_internal/state/lists.py
+++ b/src/cassiasail/_internal/state/lists.py
@@ -179,11 +179,6 @@
     return Lists(rows_by_key=rows, digest=digest % _DIGEST_MODULUS)
 
 
-def customer_key(customer: str) -> str:
-    """Return the row key of a customer."""
-    return f"customer/{customer}"
-
-
 def plan_key(plan: str) -> str:
     """Return the row key of a plan."""
     return f"plan/{plan}"
@@ -199,11 +194,6 @@
     return f"route/{service} {path}"
 
 
-def allowance_key(plan: str, service: str, path: str) -> str:
-    """Return the row key of an allowance."""
-    return f"allowance/{plan} {service} {path}"
-
-
 def split_key(key: str) -> tuple[str, tuple[str, ...]]:
     """Split a row key into its kind and names.
 
--- a/src/cassiasail/_internal/state/routes.py
+++ b/src/cassiasail/_internal/state/routes.py
@@ -20,6 +20,9 @@
     Lists,
     Route,
     Rows,
+    plan_key,
+    route_key,
+    service_key,
     split_key,
 )
 
@@ -159,25 +162,25 @@
 def _reference_faults(
     key: str, kind: str, names: tuple[str, ...], fields: Fields, rows: Any
 ) -> Iterator[RowFault]:
-    if kind == "customer" and f"plan/{fields.get('plan')}" not in rows:
+    if kind == "customer" and plan_key(fields.get("plan", "")) not in rows:
         yield RowFault(
             key=key,
             problem=f"plan {fields.get('plan')!r} is not defined",
             remedy="define the plan or choose another one",
         )
-    if kind == "route" and f"service/{names[0]}" not in rows:
+    if kind == "route" and service_key(names[0]) not in rows:
         yield _unknown_service(key, names[0])
     if kind != "allowance":
         return
-    if f"plan/{names[0]}" not in rows:
+    if plan_key(names[0]) not in rows:
         yield RowFault(
             key=key,
             problem=f"plan {names[0]!r} is not defined",
             remedy=f"add a section [plan {names[0]}]",
         )
-    if f"service/{names[1]}" not in rows:
+    if service_key(names[1]) not in rows:
         yield _unknown_service(key, names[1])
-    elif f"route/{names[1]} {names[2]}" not in rows:
+    elif route_key(names[1], names[2]) not in rows:
         yield RowFault(
             key=key,
             problem=f"unknown route {names[2]!r} of service {names[1]!r}",
--- a/src/cassiasail/_internal/transport/entry_http.py
+++ b/src/cassiasail/_internal/transport/entry_http.py
@@ -120,7 +120,7 @@
         service, _, rest = request.raw_path[1:].partition("/")
         if not service:
             return _malformed("the path must be /SERVICE/path")
-        headers = _forwarded_headers(request)
+        headers = names.end_to_end(request.headers.items())
         if not _is_encodable(request.raw_path, headers):
             return _malformed("path and headers must be UTF-8")
         body = await self._read_body(request)
@@ -230,14 +230,6 @@
         request.transport.abort()
 
 
-def _forwarded_headers(request: web.BaseRequest) -> Headers:
-    return [
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in names.HOP_BY_HOP
-    ]
-
-
 def _is_encodable(path: str, headers: Headers) -> bool:
     """Return whether neither holds bytes that the parser could not decode."""
     if path.isascii() and all(value.isascii() for _, value in headers):
--- a/src/cassiasail/_internal/transport/peers.py
+++ b/src/cassiasail/_internal/transport/peers.py
@@ -251,11 +251,6 @@
         for calls in (*self._connection_by_address.values(), *self._accepted):
             await calls.close()
 
-    @property
-    def open_connections(self) -> int:
-        """Number of call connections, dialed and accepted."""
-        return len(self._connection_by_address) + len(self._accepted)
-
     def _wrap(self, connection: Connection, region: str) -> CallConnection:
         return CallConnection(
             socket=PeerSocket(
--- a/src/cassiasail/_internal/transport/target_http.py
+++ b/src/cassiasail/_internal/transport/target_http.py
@@ -11,7 +11,7 @@
 from ..coordination.permits import REASON_BY_OUTCOME, CallOutcome
 from ..protocol import headers as names
 from ..protocol.answers import Answer, Body
-from ..protocol.frames import INLINE_BODY, CallHead, Headers
+from ..protocol.frames import INLINE_BODY, CallHead
 from ..state.refusals import Executed, Refusal, RefusalReason
 
 # Time to open a connection to a target on the same VM, in seconds.
@@ -154,7 +154,7 @@
         response.release()
         return Answer(
             status=response.status,
-            headers=_response_headers(response),
+            headers=names.end_to_end(response.headers.items()),
             body_length=length,
             body=b"",
         )
@@ -163,7 +163,7 @@
         body = await response.read()
     return Answer(
         status=response.status,
-        headers=_response_headers(response),
+        headers=names.end_to_end(response.headers.items()),
         body_length=length,
         body=body,
     )
@@ -199,13 +199,5 @@
         yield part
 
 
-def _response_headers(response: aiohttp.ClientResponse) -> Headers:
-    return [
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in names.HOP_BY_HOP
-    ]
-
-
 def _failure(outcome: CallOutcome, error: BaseException) -> TargetFailure:
     return TargetFailure(outcome=outcome, detail=str(error) or type(error).__name__)
--- a/src/cassiasail/exceptions.py
+++ b/src/cassiasail/exceptions.py
@@ -17,14 +17,6 @@
         self.faults = faults
 
 
-class ListFileError(CassiasailError):
-    """A list file has faults; ``faults`` lists all of them with line and remedy."""
-
-    def __init__(self, faults: list[str]) -> None:
-        super().__init__("\n".join(faults))
-        self.faults = faults
-
-
 class ProtocolError(CassiasailError):
     """A peer sent a malformed, oversized or unexpected message."""
 
