--- /dev/null
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -0,0 +1,143 @@
+"""Admission to the slots of one target, by urgency and remaining time.
+
+The daemon beside the target is the only way to it, so the queue stands here and not
+in the target: more urgent requests overtake, and a request that would wait too long
+is refused at once, while another target may still take it.
+"""
+
+import asyncio
+import heapq
+from dataclasses import dataclass, field
+
+from ...state.calls import HostReason
+
+# Weight of a new sample: about the last ten requests decide.
+SAMPLE_WEIGHT = 0.1
+# Assumed before the first sample; a low value lets the first requests through.
+FIRST_SECONDS = 0.05
+# Bounds memory; the wait itself is bounded by the time of the requests.
+MAX_WAITING_PER_SLOT = 64
+
+
+class ServiceSeconds:
+    """Moving averages of the service time in seconds, overall and per route."""
+
+    def __init__(self) -> None:
+        self.mean = FIRST_SECONDS
+        self._seconds_by_route: dict[str, float] = {}
+        self._samples = 0
+
+    def expected(self, route: str) -> float:
+        """Return the expected service time of a request on ``route``."""
+        return self._seconds_by_route.get(route, self.mean)
+
+    def measured(self, route: str, seconds: float) -> None:
+        """Record a request on ``route`` that took ``seconds``."""
+        self._samples += 1
+        weight = max(SAMPLE_WEIGHT, 1 / self._samples)
+        self.mean += weight * (seconds - self.mean)
+        old = self._seconds_by_route.get(route, seconds)
+        self._seconds_by_route[route] = old + SAMPLE_WEIGHT * (seconds - old)
+
+
+@dataclass(order=True, slots=True)
+class _Waiting:
+    rank: int
+    number: int
+    granted: "asyncio.Future[HostReason | None]" = field(compare=False)
+
+
+class Admission:
+    """Slots of one target and the requests that wait for one.
+
+    ``await admission.enter(rank=1, max_wait=0.5)`` returns None once a slot is
+    held, or why there is none; a holder calls ``leave``.
+    """
+
+    def __init__(self, *, slots: int) -> None:
+        self.slots = slots
+        self.seconds = ServiceSeconds()
+        self.running = 0
+        self.closed: HostReason | None = None
+        self._waiting: list[_Waiting] = []
+        self._count = 0
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a slot."""
+        return len(self._waiting)
+
+    def expected_wait(self, rank: int) -> float:
+        """Return the seconds that a request of ``rank`` would wait now."""
+        if self.running < self.slots and not self._waiting:
+            return 0.0
+        before = sum(1 for each in self._waiting if each.rank <= rank)
+        excess = max(0, self.running - self.slots)
+        return (before + excess + 1) * self.seconds.mean / self.slots
+
+    async def enter(self, *, rank: int, max_wait: float) -> HostReason | None:
+        """Wait at most ``max_wait`` seconds for a slot."""
+        if self.closed is not None:
+            return self.closed
+        if self.running < self.slots and not self._waiting:
+            self.running += 1
+            return None
+        if len(self._waiting) >= MAX_WAITING_PER_SLOT * self.slots:
+            return HostReason.BUSY
+        if self.expected_wait(rank) > max_wait:
+            return HostReason.BUSY
+        return await self._wait(rank, max_wait)
+
+    def leave(self) -> None:
+        """Give a slot back."""
+        self.running -= 1
+        self._grant()
+
+    def close(self, reason: HostReason) -> None:
+        """Refuse all that wait and all that come, with ``reason``."""
+        self.closed = reason
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            if not each.granted.done():
+                each.granted.set_result(reason)
+
+    def resize(self, slots: int) -> None:
+        """Take a new number of slots into force."""
+        self.slots = slots
+        self._grant()
+
+    async def _wait(self, rank: int, max_wait: float) -> HostReason | None:
+        self._count += 1
+        entry = _Waiting(rank, self._count, self._loop.create_future())
+        heapq.heappush(self._waiting, entry)
+        timer = self._loop.call_later(max_wait, self._expire, entry)
+        try:
+            return await entry.granted
+        except asyncio.CancelledError:
+            if entry.granted.done() and not entry.granted.cancelled():
+                if entry.granted.result() is None:
+                    self.leave()
+            else:
+                self._remove(entry)
+            raise
+        finally:
+            timer.cancel()
+
+    def _expire(self, entry: _Waiting) -> None:
+        if not entry.granted.done():
+            self._remove(entry)
+            entry.granted.set_result(HostReason.EXPIRED)
+
+    def _remove(self, entry: _Waiting) -> None:
+        if entry in self._waiting:
+            self._waiting.remove(entry)
+            heapq.heapify(self._waiting)
+
+    def _grant(self) -> None:
+        while self._waiting and self.running < self.slots:
+            entry = heapq.heappop(self._waiting)
+            if entry.granted.done():
+                continue
+            self.running += 1
+            entry.granted.set_result(None)
--- /dev/null
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -0,0 +1,220 @@
+"""Choice of the VM whose target runs a request.
+
+Every candidate has a cost in units of one late answer: how likely its answer comes
+after the latency objective, how likely it fails, and what the bytes to it cost. A
+near target is preferred until it would probably be late.
+"""
+
+import asyncio
+from collections.abc import Collection, Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+from random import Random
+
+from ...ids import DataCentre, Region, ServiceName
+from ...state.calls import HostLoad
+from ...state.hosts import HostId, HostRecord, TargetState
+from ...transport.http1.pool import Address, parse_address
+from .admission import FIRST_SECONDS, SAMPLE_WEIGHT
+
+# Bytes between data centres are paid for by volume, and those between regions share
+# one slow link; an answer that would be late weighs more than either.
+CROSS_DATA_CENTRE_COST = 0.3
+CROSS_REGION_COST = 0.4
+LATE_COST = 1.0
+FAILURE_COST = 1.5
+# Service times vary: at this part of the objective the first answers are late, at the
+# second one nearly all.
+FIRST_LATE = 0.6
+ALL_LATE = 1.4
+# Latency still decides between targets that are all in time.
+LATENCY_COST = 0.1
+# Costs closer than this are equal; chance then keeps the daemons from choosing alike.
+TIE_COST = 0.02
+# A load report says little about the present after this time.
+LOAD_SECONDS = 2.0
+# First pause after a VM did not answer, doubled each time up to the second one.
+FIRST_SUSPICION_SECONDS = 0.5
+MAX_SUSPICION_SECONDS = 8.0
+
+
+class Distance(IntEnum):
+    """How far a VM is from this one."""
+
+    SAME_DATA_CENTRE = 0
+    SAME_REGION = 1
+    OTHER_REGION = 2
+
+
+_COST_BY_DISTANCE = {
+    Distance.SAME_DATA_CENTRE: 0.0,
+    Distance.SAME_REGION: CROSS_DATA_CENTRE_COST,
+    Distance.OTHER_REGION: CROSS_REGION_COST,
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class HostView:
+    """One VM as this daemon knows it; times are loop times in seconds."""
+
+    record: HostRecord
+    address: Address
+    distance: Distance
+    load: HostLoad | None = None
+    load_at: float = 0.0
+    # Own requests there now, and those sent since the last load report.
+    in_flight: int = 0
+    sent_since_load: int = 0
+    # Service time in relation to the mean of the route over all targets.
+    slowness: float = 1.0
+    suspected_until: float = 0.0
+    suspicions: int = 0
+
+    def expected_wait(self, now: float) -> float:
+        """Return the seconds that a request sent now would wait for a slot."""
+        load = self.load
+        if load is None or now - self.load_at > LOAD_SECONDS:
+            slots, seconds = self.record.slots, FIRST_SECONDS
+            ahead = self.in_flight
+            if load is not None:
+                seconds = load.seconds
+        else:
+            slots, seconds = load.slots, load.seconds
+            ahead = load.running + load.waiting + self.sent_since_load
+        return max(0, ahead + 1 - slots) * seconds / slots
+
+
+@dataclass(slots=True, kw_only=True)
+class _RouteSeconds:
+    mean: float = FIRST_SECONDS
+    samples: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """A chosen VM and what was expected of it; times in seconds."""
+
+    view: HostView
+    wait: float
+    seconds: float
+    cost: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Fleet:
+    """All VMs that this daemon knows, and what it learnt about them."""
+
+    data_centre: DataCentre
+    region: Region
+    random: Random
+    view_by_host: dict[HostId, HostView] = field(default_factory=dict)
+    _seconds_by_route: dict[str, _RouteSeconds] = field(default_factory=dict)
+
+    def update(self, record: HostRecord) -> None:
+        """Take a new or changed record."""
+        known = self.view_by_host.get(record.host)
+        try:
+            address = parse_address(record.address)
+        except ValueError:
+            return
+        if known is not None and known.address == address:
+            if known.record.target != record.target:
+                known.load, known.slowness = None, 1.0
+                known.suspected_until, known.suspicions = 0.0, 0
+            known.record = record
+            return
+        self.view_by_host[record.host] = HostView(
+            record=record, address=address, distance=self._distance_to(record)
+        )
+
+    def remove(self, host: HostId) -> None:
+        """Forget a VM."""
+        self.view_by_host.pop(host, None)
+
+    def serving(self, service: ServiceName) -> Iterator[HostView]:
+        """Yield the VMs whose target of ``service`` takes new requests."""
+        for view in self.view_by_host.values():
+            record = view.record
+            if record.service == service and record.state is TargetState.READY:
+                yield view
+
+    def choose(
+        self,
+        service: ServiceName,
+        *,
+        route: str,
+        objective: float,
+        excluded: Collection[HostId],
+    ) -> Choice | None:
+        """Return the cheapest VM outside ``excluded``, None if there is none.
+
+        ``objective`` is in seconds from now. Suspected VMs are taken only if there
+        is no other.
+        """
+        now = asyncio.get_running_loop().time()
+        views = [
+            view for view in self.serving(service) if view.record.host not in excluded
+        ]
+        trusted = [view for view in views if view.suspected_until <= now]
+        choices = [self._rate(view, route, objective, now) for view in trusted or views]
+        return self._cheapest(choices)
+
+    def expected_seconds(self, route: str) -> float:
+        """Return the mean service time on ``route`` in seconds."""
+        return self._seconds_by_route.setdefault(route, _RouteSeconds()).mean
+
+    def answered(self, view: HostView, route: str, ran: float) -> None:
+        """Record that a request on ``route`` took ``ran`` seconds of its target."""
+        known = self._seconds_by_route.setdefault(route, _RouteSeconds())
+        known.samples += 1
+        known.mean += max(SAMPLE_WEIGHT, 1 / known.samples) * (ran - known.mean)
+        if known.mean > 0:
+            view.slowness += SAMPLE_WEIGHT * (ran / known.mean - view.slowness)
+        view.suspicions = 0
+        view.suspected_until = 0.0
+
+    def reported(self, view: HostView, load: HostLoad) -> None:
+        """Take over the load that a VM reports."""
+        view.load = load
+        view.load_at = asyncio.get_running_loop().time()
+        view.sent_since_load = 0
+
+    def suspect(self, view: HostView) -> None:
+        """Avoid a VM that did not answer, for longer each time."""
+        now = asyncio.get_running_loop().time()
+        if view.suspected_until > now:
+            return
+        pause = FIRST_SUSPICION_SECONDS * 2**view.suspicions
+        view.suspicions += 1
+        view.suspected_until = now + min(MAX_SUSPICION_SECONDS, pause)
+
+    def _distance_to(self, record: HostRecord) -> Distance:
+        if record.data_centre == self.data_centre:
+            return Distance.SAME_DATA_CENTRE
+        if record.region == self.region:
+            return Distance.SAME_REGION
+        return Distance.OTHER_REGION
+
+    def _rate(self, view: HostView, route: str, objective: float, now: float) -> Choice:
+        wait = view.expected_wait(now)
+        seconds = self.expected_seconds(route) * view.slowness
+        used = (wait + seconds) / max(objective, 1e-3)
+        late = min(1.0, max(0.0, (used - FIRST_LATE) / (ALL_LATE - FIRST_LATE)))
+        failing = view.load.failing if view.load is not None else 0.0
+        age = now - view.load_at
+        if age > LOAD_SECONDS:
+            failing *= LOAD_SECONDS / age
+        cost = (
+            _COST_BY_DISTANCE[view.distance]
+            + LATE_COST * late
+            + LATENCY_COST * min(used, 10.0)
+            + FAILURE_COST * failing
+        )
+        return Choice(view=view, wait=wait, seconds=seconds, cost=cost)
+
+    def _cheapest(self, choices: Iterable[Choice]) -> Choice | None:
+        ranked = sorted(choices, key=lambda choice: choice.cost)
+        if not ranked:
+            return None
+        limit = ranked[0].cost + TIE_COST
+        return self.random.choice([each for each in ranked if each.cost <= limit])
--- /dev/null
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -0,0 +1,291 @@
+"""Runs requests on the target beside this daemon.
+
+The daemon is the only way to its target. It hands over no more requests than the
+target has slots, keeps the others in order of urgency, and tells for each request
+whether the target may have run it. An unsafe request is known by the id of its client
+attempt: a second copy that arrives here joins the first one and is never run again.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from ...events import EventLog
+from ...ids import TargetId
+from ...protocol.http1 import HttpRequest, HttpResponse
+from ...state.calls import (
+    HostedCall,
+    HostLoad,
+    HostOutcome,
+    HostReason,
+    HostReply,
+    MeshCall,
+    TargetAnswer,
+)
+from ...transport.http1.client import ExchangeFailed, FailureReason
+from ...transport.http1.pool import Address, ConnectionPool, parse_address
+from .admission import Admission
+from .registration import TargetReport
+
+# The target answers by itself at its deadline; the connection is cut a little later.
+ANSWER_MARGIN_SECONDS = 0.1
+# Outcomes of unsafe requests are kept while the entry daemon may still ask again.
+KEEP_OUTCOME_SECONDS = 10.0
+# An unsafe request that waits for a slot is withdrawn this long after its entry daemon
+# has left; a lost connection is replaced sooner.
+REJOIN_SECONDS = 0.3
+# A target may drop an idle connection without notice, and an unsafe request that was
+# sent on it cannot be repeated.
+UNSAFE_IDLE_SECONDS = 0.5
+FAILING_WEIGHT = 0.1
+# The share of failures halves in this time without requests; then it is tried again.
+FAILING_HALF_LIFE_SECONDS = 3.0
+
+_REASON_BY_FAILURE = {
+    FailureReason.CONNECT_FAILED: HostReason.TARGET_DOWN,
+    FailureReason.RESET: HostReason.TARGET_RESET,
+    FailureReason.CUT_SHORT: HostReason.TARGET_BROKE_OFF,
+    FailureReason.MALFORMED: HostReason.TARGET_SPOILED,
+    FailureReason.TOO_LARGE: HostReason.TARGET_SPOILED,
+    FailureReason.TIMED_OUT: HostReason.TIMED_OUT,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetVerdict:
+    """An answer of a target as the adapter decoded it.
+
+    ``attempt`` is the id that the target echoes, None without one.
+    """
+
+    answer: TargetAnswer
+    attempt: str | None
+    ran: bool
+    other_target: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetCodec:
+    """How requests and answers look on the connection to the target."""
+
+    encode: Callable[[MeshCall, TargetId, float], HttpRequest]
+    decode: Callable[[HttpResponse], TargetVerdict]
+
+
+class FailingShare:
+    """Recent share of requests that failed, decaying while there are none."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._updated = 0.0
+
+    def at(self, now: float) -> float:
+        """Return the share at ``now``, between 0 and 1."""
+        halvings = (now - self._updated) / FAILING_HALF_LIFE_SECONDS
+        return self._share * math.pow(0.5, max(0.0, halvings))
+
+    def record(self, failed: bool, now: float) -> None:
+        """Record the end of one request."""
+        share = self.at(now)
+        self._share = share + FAILING_WEIGHT * (float(failed) - share)
+        self._updated = now
+
+
+@dataclass(slots=True, kw_only=True)
+class _UnsafeRun:
+    task: "asyncio.Task[HostReply]"
+    followers: int = 0
+    handed_over: bool = False
+
+
+class Host:
+    """The requests that run on the target beside this daemon."""
+
+    def __init__(
+        self, *, pool: ConnectionPool, codec: TargetCodec, events: EventLog
+    ) -> None:
+        self._pool = pool
+        self._codec = codec
+        self._events = events
+        self._loop = asyncio.get_running_loop()
+        self._target: TargetReport | None = None
+        self._address: Address | None = None
+        self._admission = Admission(slots=1)
+        self._failing = FailingShare()
+        self._unsafe_by_attempt: dict[str, _UnsafeRun] = {}
+        self.stopping = False
+
+    def set_target(self, report: TargetReport | None) -> None:
+        """Serve the target of ``report`` from now on; None if there is none."""
+        known = self._target
+        same_life = (
+            known is not None
+            and report is not None
+            and (known.target, known.born) == (report.target, report.born)
+        )
+        self._target = report
+        if report is None or report.leaving:
+            self._admission.close(
+                HostReason.LEAVING if report else HostReason.NO_TARGET
+            )
+            return
+        if same_life:
+            self._admission.resize(report.slots)
+            return
+        # A new life has free slots, and what was learnt of the former one is void.
+        if self._address is not None:
+            self._pool.forget(self._address)
+        self._address = parse_address(report.address)
+        self._admission = Admission(slots=report.slots)
+        self._failing = FailingShare()
+
+    def stop_admitting(self) -> None:
+        """Refuse new requests; those that run go on."""
+        self.stopping = True
+        self._admission.close(HostReason.LEAVING)
+
+    def load(self) -> HostLoad:
+        """Return the load that entry daemons choose by."""
+        admission = self._admission
+        return HostLoad(
+            running=admission.running,
+            waiting=admission.waiting,
+            slots=admission.slots,
+            seconds=admission.seconds.mean,
+            failing=self._failing.at(self._loop.time()),
+        )
+
+    async def run(self, hosted: HostedCall) -> HostReply:
+        """Run one request, or say why not."""
+        if hosted.safe or not hosted.call.attempt:
+            reply = await self._run(hosted, None)
+        else:
+            reply = await self._run_unsafe(hosted)
+        return replace(reply, load=self.load())
+
+    async def _run_unsafe(self, hosted: HostedCall) -> HostReply:
+        attempt = hosted.call.attempt
+        run = self._unsafe_by_attempt.get(attempt)
+        if run is None:
+            # The task must know its record before it starts, to mark the hand-over.
+            run = _UnsafeRun(task=None)  # type: ignore[arg-type]
+            run.task = self._loop.create_task(self._run(hosted, run))
+            self._unsafe_by_attempt[attempt] = run
+            run.task.add_done_callback(lambda _: self._forget_later(attempt))
+        run.followers += 1
+        try:
+            return await asyncio.shield(run.task)
+        except asyncio.CancelledError:
+            if run.task.cancelled():
+                return _refused(HostReason.EXPIRED)
+            raise
+        finally:
+            run.followers -= 1
+            if not run.followers and not run.task.done():
+                self._loop.call_later(REJOIN_SECONDS, self._withdraw, run)
+
+    def _withdraw(self, run: _UnsafeRun) -> None:
+        if not run.followers and not run.handed_over:
+            run.task.cancel()
+
+    def _forget_later(self, attempt: str) -> None:
+        self._loop.call_later(
+            KEEP_OUTCOME_SECONDS, self._unsafe_by_attempt.pop, attempt, None
+        )
+
+    async def _run(self, hosted: HostedCall, run: _UnsafeRun | None) -> HostReply:
+        refusal = self._refusal_of(hosted)
+        if refusal is not None:
+            return _refused(refusal)
+        admission = self._admission
+        arrived = self._loop.time()
+        refusal = await admission.enter(rank=hosted.rank, max_wait=hosted.max_wait)
+        if refusal is not None:
+            return _refused(refusal)
+        try:
+            refusal = self._refusal_of(hosted)
+            left = hosted.time_left - (self._loop.time() - arrived)
+            if refusal is None and left <= 0:
+                refusal = HostReason.EXPIRED
+            if refusal is not None or admission is not self._admission:
+                return _refused(refusal or HostReason.NO_TARGET)
+            if run is not None:
+                run.handed_over = True
+            return await self._hand_over(hosted, admission, left)
+        finally:
+            admission.leave()
+
+    def _refusal_of(self, hosted: HostedCall) -> HostReason | None:
+        target = self._target
+        if self.stopping:
+            return HostReason.LEAVING
+        if target is None:
+            return HostReason.NO_TARGET
+        if target.service != hosted.service:
+            return HostReason.OTHER_TARGET
+        return HostReason.LEAVING if target.leaving else None
+
+    async def _hand_over(
+        self, hosted: HostedCall, admission: Admission, left: float
+    ) -> HostReply:
+        target, address = self._target, self._address
+        assert target is not None and address is not None
+        call = hosted.call
+        started = self._loop.time()
+
+        def is_own(response: HttpResponse) -> bool:
+            echoed = self._codec.decode(response).attempt
+            return echoed is None or not call.attempt or echoed == call.attempt
+
+        result = await self._pool.exchange(
+            address,
+            self._codec.encode(call, target.target, left),
+            timeout=left + ANSWER_MARGIN_SECONDS,
+            accept=is_own,
+            max_idle=None if hosted.safe else UNSAFE_IDLE_SECONDS,
+        )
+        ran = self._loop.time() - started
+        reply = self._reply_of(result, ran)
+        failed = reply.outcome is not HostOutcome.ANSWERED or (
+            reply.answer is not None and reply.answer.status >= 500
+        )
+        self._failing.record(failed, self._loop.time())
+        if reply.outcome is HostOutcome.ANSWERED:
+            admission.seconds.measured(hosted.route, ran)
+        if failed:
+            self._events.write(
+                "target_failed",
+                attempt=call.attempt,
+                target=target.target,
+                outcome=reply.outcome.value,
+                reason=reply.reason.value,
+                status=reply.answer.status if reply.answer else 0,
+                ran_ms=int(ran * 1000),
+                left_ms=int(left * 1000),
+            )
+        return reply
+
+    def _reply_of(self, result: HttpResponse | ExchangeFailed, ran: float) -> HostReply:
+        if isinstance(result, ExchangeFailed):
+            reason = _REASON_BY_FAILURE[result.reason]
+            if not result.sent:
+                return _refused(reason)
+            return HostReply(outcome=HostOutcome.FAILED, reason=reason, ran=ran)
+        verdict = self._codec.decode(result)
+        if verdict.other_target:
+            return HostReply(
+                outcome=HostOutcome.SHED, reason=HostReason.MISDIRECTED, ran=ran
+            )
+        if not verdict.ran:
+            return HostReply(
+                outcome=HostOutcome.SHED,
+                reason=HostReason.TARGET_FULL,
+                answer=verdict.answer,
+                ran=ran,
+            )
+        return HostReply(outcome=HostOutcome.ANSWERED, answer=verdict.answer, ran=ran)
+
+
+def _refused(reason: HostReason) -> HostReply:
+    return HostReply(outcome=HostOutcome.REFUSED, reason=reason)
--- /dev/null
+++ b/src/cassiasail/_internal/protocol/http1.py
@@ -0,0 +1,104 @@
+"""Whole HTTP/1.1 messages and their encoding."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+
+Header = tuple[bytes, bytes]
+
+# Headers of one connection only (RFC 9112 and RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+_REASON_BY_STATUS = {each.value: each.phrase.encode() for each in HTTPStatus}
+BODILESS_METHODS = frozenset((b"GET", b"HEAD", b"DELETE", b"OPTIONS"))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpRequest:
+    """A request with its whole body; header names are in lower case.
+
+    ``target`` is in origin form; ``arrived`` is the loop time in seconds at which the
+    first byte of the head was read.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes = b""
+    arrived: float = 0.0
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of ``name``, None without one."""
+        return _first(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpResponse:
+    """A response with its whole body; header names are in lower case."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+    reason: bytes = b""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of ``name``, None without one."""
+        return _first(self.headers, name)
+
+
+def _first(headers: tuple[Header, ...], name: bytes) -> bytes | None:
+    return next((value for each, value in headers if each == name), None)
+
+
+def end_to_end(headers: tuple[Header, ...]) -> Iterator[Header]:
+    """Yield the headers that are passed on: not those of one connection.
+
+    Headers that ``Connection`` names belong to the connection as well.
+    """
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    for name, value in headers:
+        if name not in HOP_BY_HOP and name not in named:
+            yield name, value
+
+
+def encode_request(request: HttpRequest) -> bytes:
+    """Return the bytes of a request that keeps its connection."""
+    lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in request.headers]
+    if request.body or request.method not in BODILESS_METHODS:
+        lines.append(b"content-length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def encode_response(
+    response: HttpResponse, *, method: bytes, close: bool, idle_seconds: float
+) -> bytes:
+    """Return the bytes of a response to a request of ``method``."""
+    reason = response.reason or _REASON_BY_STATUS.get(response.status, b"Unknown")
+    lines = [b"HTTP/1.1 %d %s" % (response.status, reason)]
+    lines += [name + b": " + value for name, value in response.headers]
+    bodiless = response.status in (204, 304)
+    if not bodiless:
+        lines.append(b"content-length: %d" % len(response.body))
+    if close:
+        lines.append(b"connection: close")
+    elif idle_seconds >= 1:
+        lines.append(b"keep-alive: timeout=%d" % int(idle_seconds))
+    body = b"" if bodiless or method == b"HEAD" else response.body
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -0,0 +1,149 @@
+"""Requests between the entry daemon and the daemon beside the target, over HTTP/1.1.
+
+The request keeps its method, path, headers and body. One header, ``cs-call``, carries
+what the daemon beside the target decides by; one header of the answer, ``cs-reply``,
+carries the outcome and the load of the target. Fields are separated by commas and
+percent-encoded.
+"""
+
+from urllib.parse import quote, unquote
+
+from ..ids import ServiceName
+from ..state.calls import (
+    HostedCall,
+    HostLoad,
+    HostOutcome,
+    HostReason,
+    HostReply,
+    MeshCall,
+    TargetAnswer,
+)
+from .http1 import HttpRequest, HttpResponse
+
+CALL_HEADER = b"cs-call"
+REPLY_HEADER = b"cs-reply"
+_HOST = b"host"
+_OWN_REQUEST_HEADERS = frozenset((CALL_HEADER, _HOST, b"content-length"))
+_CONNECTION_HEADERS = frozenset(
+    (REPLY_HEADER, b"content-length", b"connection", b"keep-alive")
+)
+# Status of replies without an answer of the target; only other daemons see it.
+_NO_ANSWER_STATUS = 299
+
+
+def encode_call(hosted: HostedCall) -> HttpRequest:
+    """Return the request that carries ``hosted`` to the daemon beside the target."""
+    call = hosted.call
+    fields = (
+        hosted.service,
+        str(hosted.rank),
+        hosted.route,
+        "1" if hosted.safe else "0",
+        str(int(hosted.time_left * 1000)),
+        str(int(hosted.max_wait * 1000)),
+        call.caller,
+        call.attempt,
+    )
+    value = ",".join(quote(each, safe="") for each in fields).encode()
+    headers = ((_HOST, call.host.encode()), (CALL_HEADER, value), *call.headers)
+    return HttpRequest(
+        method=call.method, target=call.target, headers=headers, body=call.body
+    )
+
+
+def decode_call(request: HttpRequest) -> HostedCall | None:
+    """Return the call that ``request`` carries, None if it is not one."""
+    value = request.header(CALL_HEADER)
+    if value is None:
+        return None
+    try:
+        fields = [unquote(each) for each in value.decode("ascii").split(",")]
+        service, rank, route, safe, left, wait, caller, attempt = fields
+        headers = tuple(
+            pair for pair in request.headers if pair[0] not in _OWN_REQUEST_HEADERS
+        )
+        call = MeshCall(
+            attempt=attempt,
+            method=request.method,
+            host=(request.header(_HOST) or b"").decode("latin-1"),
+            target=request.target,
+            headers=headers,
+            body=request.body,
+            caller=ServiceName(caller),
+            arrived=request.arrived,
+            time_left=int(left) / 1000,
+        )
+        return HostedCall(
+            call=call,
+            service=ServiceName(service),
+            rank=int(rank),
+            route=route,
+            safe=safe == "1",
+            time_left=int(left) / 1000,
+            max_wait=int(wait) / 1000,
+        )
+    except (UnicodeDecodeError, ValueError):
+        return None
+
+
+def encode_reply(reply: HostReply) -> HttpResponse:
+    """Return the response that carries ``reply``."""
+    load = reply.load
+    fields = [reply.outcome.value, reply.reason.value, str(int(reply.ran * 1000))]
+    if load is not None:
+        fields += [
+            str(load.running),
+            str(load.waiting),
+            str(load.slots),
+            str(int(load.seconds * 1000)),
+            f"{load.failing:.2f}",
+        ]
+    own = (REPLY_HEADER, ",".join(fields).encode())
+    answer = reply.answer
+    if answer is None:
+        return HttpResponse(status=_NO_ANSWER_STATUS, headers=(own,))
+    return HttpResponse(
+        status=answer.status,
+        reason=answer.reason,
+        headers=(own, *answer.headers),
+        body=answer.body,
+    )
+
+
+def decode_reply(response: HttpResponse) -> HostReply | None:
+    """Return the reply that ``response`` carries, None if it is not one."""
+    value = response.header(REPLY_HEADER)
+    if value is None:
+        return None
+    try:
+        outcome, reason, ran, *rest = value.decode("ascii").split(",")
+        kept = tuple(
+            pair for pair in response.headers if pair[0] not in _CONNECTION_HEADERS
+        )
+        answer = TargetAnswer(
+            status=response.status,
+            reason=response.reason,
+            headers=kept,
+            body=response.body,
+        )
+        answered = response.status != _NO_ANSWER_STATUS
+        return HostReply(
+            outcome=HostOutcome(outcome),
+            reason=HostReason(reason),
+            answer=answer if answered else None,
+            load=_decode_load(rest) if rest else None,
+            ran=int(ran) / 1000,
+        )
+    except (UnicodeDecodeError, ValueError):
+        return None
+
+
+def _decode_load(fields: list[str]) -> HostLoad:
+    running, waiting, slots, milliseconds, failing = fields
+    return HostLoad(
+        running=int(running),
+        waiting=int(waiting),
+        slots=max(1, int(slots)),
+        seconds=int(milliseconds) / 1000,
+        failing=float(failing),
+    )
--- /dev/null
+++ b/src/cassiasail/_internal/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on the users' platform: wiring of its parts and its life."""
--- /dev/null
+++ b/src/cassiasail/_internal/sidecar/program.py
@@ -0,0 +1,58 @@
+"""The program of the sidecar: settings, signals, exit codes."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from ...exceptions import SettingsError
+from ...platform.settings import PATH_VARIABLE, SidecarSettings, decode_settings
+from ..events import EventLog
+from .runtime import SidecarRuntime
+
+EXIT_SETTINGS = 1
+
+
+def load_settings() -> SidecarSettings:
+    """Return the settings of the file that the environment names."""
+    path = os.environ.get(PATH_VARIABLE)
+    if path is None:
+        raise SettingsError([f"set {PATH_VARIABLE} to the path of the settings file"])
+    try:
+        document = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError([f"cannot read the settings: {error}"]) from error
+    return decode_settings(document)
+
+
+async def run(settings: SidecarSettings) -> None:
+    """Run one daemon until SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    events = EventLog()
+    runtime = SidecarRuntime(settings=settings, events=events)
+    stopping = asyncio.Event()
+
+    def reload() -> None:
+        try:
+            runtime.reload(load_settings())
+        except SettingsError as error:
+            events.write("reload_refused", faults=error.faults)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    await runtime.start()
+    await stopping.wait()
+    await runtime.stop()
+
+
+def main() -> None:
+    """Run the sidecar with the settings that the platform gives."""
+    try:
+        settings = load_settings()
+    except SettingsError as error:
+        for fault in error.faults:
+            print(fault, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    asyncio.run(run(settings))
--- /dev/null
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -0,0 +1,386 @@
+"""Parts of one sidecar daemon and how they are connected."""
+
+import asyncio
+from random import Random
+
+from ...exceptions import SettingsError
+from ...platform import configuration, readiness, reports, requests
+from ...platform.settings import SidecarSettings
+from ...platform.table_store import TableStore
+from ..coordination.mesh import peers
+from ..coordination.mesh.balancing import Fleet, HostView
+from ..coordination.mesh.budget import RetryBudget
+from ..coordination.mesh.entry import Entry
+from ..coordination.mesh.hosting import Host
+from ..coordination.mesh.publishing import RecordPublisher
+from ..coordination.mesh.registration import TargetRegistration, TargetReport
+from ..coordination.mesh.shared_tables import StoredRow
+from ..coordination.mesh.watching import TableWatch
+from ..events import EventLog
+from ..ids import TargetId
+from ..protocol import peer_calls
+from ..protocol.http1 import HttpRequest, HttpResponse
+from ..state.calls import HostedCall, HostReply
+from ..state.hosts import HostRecord, TargetState, decode_record, encode_record
+from ..state.mesh_config import ConfigRejected, MeshConfig
+from ..transport.http1.pool import ConnectionPool
+from ..transport.http1.server import ConnectionLimits, HttpServer
+
+# The table in which the daemons publish their records.
+HOSTS_TABLE = "hosts"
+
+# Opening a connection takes one round trip, 24 ms between regions; the rest is for a
+# lost packet or a busy machine.
+PEER_CONNECT_SECONDS = 0.4
+# A peer that acknowledges nothing for this long is taken for lost; several lost
+# packets in a row stay below it.
+PEER_SILENCE_SECONDS = 1.2
+PEER_IDLE_SECONDS = 20.0
+# The listener of the peers keeps connections longer than the peers do.
+PEER_SERVER_IDLE_SECONDS = 30.0
+TARGET_CONNECT_SECONDS = 0.5
+TARGET_SILENCE_SECONDS = 1.0
+TARGET_IDLE_SECONDS = 60.0
+STORE_CONNECT_SECONDS = 0.5
+STORE_SILENCE_SECONDS = 1.0
+STORE_IDLE_SECONDS = 5.0
+# How long one call waits for changes. An answer lost on its way is noticed only after
+# it, so the wait for the configuration is well below the time that it may take.
+CONFIG_WAIT_SECONDS = 2.5
+HOSTS_WAIT_SECONDS = 5.0
+# A target that misses this many reports in a row is taken for dead.
+MISSED_REPORTS = 4
+# Part of the grace time after which the daemon exits even with requests in flight.
+GRACE_SHARE = 0.85
+# Clients learn of the end from two missed questions, one a second; until then they may
+# still connect.
+LINGER_SECONDS = 2.6
+POLL_SECONDS = 0.05
+
+
+class SidecarRuntime:
+    """One daemon: its listeners, beliefs and background tasks."""
+
+    def __init__(self, *, settings: SidecarSettings, events: EventLog) -> None:
+        self._settings = settings
+        self._events = events
+        self._loop = asyncio.get_running_loop()
+        self._random = Random()
+        self._config: MeshConfig | None = None
+        self._limits = ConnectionLimits()
+        self._stopping = False
+        self._last_report = self._loop.time()
+        self._build_pools()
+        self._tables = TableStore(address=settings.store, pool=self._store_pool)
+        self._host = Host(
+            pool=self._target_pool, codec=requests.TARGET_CODEC, events=events
+        )
+        self._registration = TargetRegistration(
+            address=str(settings.target), changed=self._target_changed
+        )
+        self._fleet = Fleet(
+            data_centre=settings.data_centre,
+            region=settings.region,
+            random=self._random,
+        )
+        self._entry = Entry(
+            config=lambda: self._config,
+            fleet=self._fleet,
+            budget=RetryBudget(
+                ratio=settings.retry_ratio,
+                slack=settings.retry_slack,
+                window=settings.retry_window,
+            ),
+            ask=self._ask,
+            events=events,
+            random=self._random,
+        )
+        self._build_store_tasks()
+        self._build_servers()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _build_pools(self) -> None:
+        self._peer_pool = ConnectionPool(
+            connect_timeout=PEER_CONNECT_SECONDS,
+            silence=PEER_SILENCE_SECONDS,
+            idle=PEER_IDLE_SECONDS,
+        )
+        self._target_pool = ConnectionPool(
+            connect_timeout=TARGET_CONNECT_SECONDS,
+            silence=TARGET_SILENCE_SECONDS,
+            idle=TARGET_IDLE_SECONDS,
+        )
+        self._store_pool = ConnectionPool(
+            connect_timeout=STORE_CONNECT_SECONDS,
+            silence=STORE_SILENCE_SECONDS,
+            idle=STORE_IDLE_SECONDS,
+        )
+
+    def _build_store_tasks(self) -> None:
+        self._publisher = RecordPublisher(
+            tables=self._tables,
+            table=HOSTS_TABLE,
+            key=self._settings.host,
+            events=self._events,
+            random=self._random,
+        )
+        self._config_watch = TableWatch(
+            tables=self._tables,
+            table=configuration.TABLE,
+            wait=CONFIG_WAIT_SECONDS,
+            changed=self._config_row_changed,
+            events=self._events,
+            random=self._random,
+        )
+        self._hosts_watch = TableWatch(
+            tables=self._tables,
+            table=HOSTS_TABLE,
+            wait=HOSTS_WAIT_SECONDS,
+            changed=self._host_row_changed,
+            events=self._events,
+            random=self._random,
+        )
+
+    def _build_servers(self) -> None:
+        peer_limits = ConnectionLimits(idle_seconds=PEER_SERVER_IDLE_SECONDS)
+        self._clients_server = HttpServer(
+            handler=self._serve_client, limits=lambda: self._limits
+        )
+        self._peers_server = HttpServer(
+            handler=self._serve_peer, limits=lambda: peer_limits
+        )
+        self._reports_server = HttpServer(
+            handler=self._serve_report, limits=lambda: peer_limits
+        )
+        self._readiness_server = HttpServer(
+            handler=self._serve_readiness, limits=lambda: peer_limits
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should come to this daemon."""
+        return (
+            not self._stopping
+            and self._config is not None
+            and self._hosts_watch.read_once.is_set()
+        )
+
+    async def start(self) -> None:
+        """Open the listeners and follow the store."""
+        settings = self._settings
+        for server, address in (
+            (self._readiness_server, settings.readiness),
+            (self._reports_server, settings.reports),
+            (self._peers_server, settings.peers),
+            (self._clients_server, settings.clients),
+        ):
+            await server.start(address.host, address.port)
+        self._tasks = [
+            asyncio.create_task(self._config_watch.run()),
+            asyncio.create_task(self._hosts_watch.run()),
+            asyncio.create_task(self._publisher.run()),
+            asyncio.create_task(self._watch_reports()),
+        ]
+        self._events.write(
+            "started",
+            host=settings.host,
+            data_centre=settings.data_centre,
+            service=settings.service,
+        )
+
+    async def stop(self) -> None:
+        """Take nothing new, finish what is in flight, and close everything."""
+        started = self._loop.time()
+        self._stopping = True
+        self._events.write("stopping", in_flight=self._in_flight())
+        self._host.stop_admitting()
+        self._publish(TargetState.LEAVING)
+        self._clients_server.drain()
+        self._peers_server.drain()
+        ends = started + GRACE_SHARE * self._settings.grace
+        while self._loop.time() < ends:
+            lingered = self._loop.time() - started >= LINGER_SECONDS
+            if lingered and not self._in_flight():
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        self._events.write(
+            "stopped",
+            in_flight=self._in_flight(),
+            took_ms=int((self._loop.time() - started) * 1000),
+        )
+        for server in (self._clients_server, self._peers_server):
+            await server.stop()
+        for task in self._tasks:
+            task.cancel()
+        # What was written last needs a moment to leave.
+        await asyncio.sleep(POLL_SECONDS)
+
+    def reload(self, settings: SidecarSettings) -> None:
+        """Take over changed settings as far as a running daemon can."""
+        if settings.clients != self._settings.clients:
+            raise SettingsError(["the listening addresses changed; restart the daemon"])
+        self._settings = settings
+        self._events.write("reloaded", service=settings.service)
+
+    def _in_flight(self) -> int:
+        return self._clients_server.active + self._peers_server.active
+
+    # Requests.
+
+    async def _serve_client(self, request: HttpRequest) -> HttpResponse:
+        call = requests.decode_request(request, caller=self._settings.service)
+        return requests.encode_answer(await self._entry.serve(call), call.attempt)
+
+    async def _serve_peer(self, request: HttpRequest) -> HttpResponse:
+        hosted = peer_calls.decode_call(request)
+        if hosted is None:
+            return HttpResponse(status=400)
+        return peer_calls.encode_reply(await self._host.run(hosted))
+
+    async def _ask(self, view: HostView, hosted: HostedCall) -> HostReply:
+        if view.record.host == self._settings.host:
+            return await self._host.run(hosted)
+        return await peers.ask(self._peer_pool, view.address, hosted)
+
+    async def _serve_readiness(self, request: HttpRequest) -> HttpResponse:
+        return readiness.answer_readiness(request, ready=self.ready)
+
+    # The target beside this daemon.
+
+    async def _serve_report(self, request: HttpRequest) -> HttpResponse:
+        report = reports.decode_report(request)
+        if isinstance(report, reports.MalformedReport):
+            self._events.write("report_malformed", reason=report.reason)
+            return HttpResponse(status=report.status)
+        if isinstance(report, reports.TargetRemoved):
+            verdict = self._registration.remove(report.target, report.born)
+        else:
+            verdict = self._registration.report(report)
+            if report.address == str(self._settings.target):
+                self._last_report = self._loop.time()
+        if verdict.value != "taken":
+            self._events.write(
+                "report_ignored", target=report.target, verdict=verdict.value
+            )
+        return reports.ACKNOWLEDGED
+
+    def _target_changed(self, report: TargetReport | None) -> None:
+        before = self._registration_state()
+        self._host.set_target(report)
+        state = self._registration.state
+        target = report.target if report is not None else ""
+        if (target, state) != before:
+            self._known_target = (target, state)
+            self._events.write("target_state", target=target, state=state.value)
+            self._publish(state)
+
+    def _registration_state(self) -> tuple[str, TargetState]:
+        return getattr(self, "_known_target", ("", TargetState.ABSENT))
+
+    async def _watch_reports(self) -> None:
+        interval = self._settings.report_interval
+        while True:
+            await asyncio.sleep(interval)
+            silent = self._loop.time() - self._last_report
+            known = self._registration.current
+            if known is None or known.leaving:
+                continue
+            if silent > MISSED_REPORTS * interval:
+                self._events.write(
+                    "target_silent", target=known.target, silent_ms=int(silent * 1000)
+                )
+                self._registration.lose()
+
+    def _publish(self, state: TargetState) -> None:
+        settings, report = self._settings, self._registration.current
+        if report is None:
+            own = self._fleet.view_by_host.get(settings.host)
+            if own is None:
+                return
+            absent = HostRecord(
+                host=settings.host,
+                address=str(settings.peers),
+                data_centre=settings.data_centre,
+                region=settings.region,
+                service=own.record.service,
+                target=own.record.target,
+                born=own.record.born,
+                slots=own.record.slots,
+                state=TargetState.ABSENT,
+            )
+            self._publish_record(absent)
+            return
+        self._publish_record(
+            HostRecord(
+                host=settings.host,
+                address=str(settings.peers),
+                data_centre=settings.data_centre,
+                region=settings.region,
+                service=report.service,
+                target=report.target,
+                born=report.born,
+                slots=report.slots,
+                state=state,
+            )
+        )
+
+    def _publish_record(self, record: HostRecord) -> None:
+        self._fleet.update(record)
+        self._publisher.want(encode_record(record))
+
+    # What the store says.
+
+    def _config_row_changed(self, row: StoredRow) -> None:
+        if row.key != configuration.KEY or row.deleted:
+            return
+        config = configuration.decode_configuration(row.value)
+        if isinstance(config, ConfigRejected):
+            self._events.write("config_rejected", faults=config.faults[:5])
+            return
+        if self._config is not None and config.version <= self._config.version:
+            if config.version < self._config.version:
+                self._events.write(
+                    "config_older",
+                    version=config.version,
+                    in_force=self._config.version,
+                )
+            return
+        self._config = config
+        limits = config.limits
+        self._limits = ConnectionLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_seconds=limits.header_seconds,
+            idle_seconds=limits.idle_seconds,
+        )
+        self._events.write(
+            "config_taken", version=config.version, routes=len(config.routes)
+        )
+
+    def _host_row_changed(self, row: StoredRow) -> None:
+        if row.key == self._settings.host:
+            self._own_row_changed(row)
+            return
+        record = None if row.deleted else decode_record(row.key, row.value)
+        if record is None:
+            self._fleet.remove(row.key)
+            if not row.deleted:
+                self._events.write("record_malformed", host=row.key)
+            return
+        self._fleet.update(record)
+        self._events.write(
+            "host_learnt",
+            host=row.key,
+            service=record.service,
+            target=record.target,
+            state=record.state.value,
+        )
+
+    def _own_row_changed(self, row: StoredRow) -> None:
+        self._publisher.observe(row)
+        record = None if row.deleted else decode_record(row.key, row.value)
+        if record is None or record.host in self._fleet.view_by_host:
+            return
+        # Written by a former life of this daemon.
+        if record.state is not TargetState.READY:
+            self._registration.recall_leaving(TargetId(record.target), record.born)
--- /dev/null
+++ b/src/cassiasail/_internal/state/hosts.py
@@ -0,0 +1,79 @@
+"""What a daemon publishes about itself and the target beside it.
+
+Each VM has one record in the store, written only by its own daemon, so that two
+writers never race for it except over two lives of one daemon.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import cbor2
+
+from ..ids import DataCentre, Region, ServiceName, TargetId
+
+HostId = str
+
+
+class TargetState(Enum):
+    """Whether a target takes new requests; the value is the stored one."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    ABSENT = "absent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostRecord:
+    """One VM: how its daemon is reached and which target it serves."""
+
+    host: HostId
+    address: str
+    data_centre: DataCentre
+    region: Region
+    service: ServiceName
+    target: TargetId
+    born: int
+    slots: int
+    state: TargetState
+
+
+def encode_record(record: HostRecord) -> bytes:
+    """Return the stored form of ``record``."""
+    return cbor2.dumps(
+        [
+            record.address,
+            record.data_centre,
+            record.region,
+            record.service,
+            record.target,
+            record.born,
+            record.slots,
+            record.state.value,
+        ]
+    )
+
+
+def decode_record(host: HostId, data: bytes) -> HostRecord | None:
+    """Return the record of ``host``, None if the bytes are not one."""
+    try:
+        address, data_centre, region, service, target, born, slots, state = cbor2.loads(
+            data
+        )
+        texts = (address, data_centre, region, service, target)
+        if not all(isinstance(text, str) for text in texts):
+            return None
+        if not isinstance(born, int) or not isinstance(slots, int) or slots < 1:
+            return None
+        return HostRecord(
+            host=host,
+            address=address,
+            data_centre=DataCentre(data_centre),
+            region=Region(region),
+            service=ServiceName(service),
+            target=TargetId(target),
+            born=born,
+            slots=slots,
+            state=TargetState(state),
+        )
+    except (cbor2.CBORDecodeError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -0,0 +1,114 @@
+"""Idle connections by address, for callers that send one request at a time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ...protocol.http1 import HttpRequest, HttpResponse
+from .client import (
+    ClientConnection,
+    ExchangeFailed,
+    FailureReason,
+    connect,
+)
+
+# A connection is not reused this close to the end of the server's idle time.
+IDLE_MARGIN_SECONDS = 0.5
+
+
+class Address(NamedTuple):
+    """An IPv4 address in digits and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Return the address written as ``10.1.0.8:8300``; ValueError otherwise."""
+    host, colon, port = text.rpartition(":")
+    parts = host.split(".")
+    if not colon or len(parts) != 4 or not all(part.isdigit() for part in parts):
+        raise ValueError(f"{text!r} is not an IPv4 address with a port")
+    return Address(host, int(port))
+
+
+class ConnectionPool:
+    """Connections to any number of addresses; the newest idle one is used first.
+
+    Times are in seconds: ``connect_timeout`` bounds the opening, ``silence`` is how
+    long sent bytes may stay unacknowledged, ``idle`` how long an unused connection
+    stays open.
+    """
+
+    def __init__(self, *, connect_timeout: float, silence: float, idle: float) -> None:
+        self._connect_timeout = connect_timeout
+        self._silence = silence
+        self._idle = idle
+        self._idle_by_address: dict[Address, list[ClientConnection]] = {}
+        self._loop = asyncio.get_running_loop()
+        self.opened = 0
+
+    async def exchange(
+        self,
+        address: Address,
+        request: HttpRequest,
+        *,
+        timeout: float,
+        accept: Callable[[HttpResponse], bool] | None = None,
+        max_idle: float | None = None,
+    ) -> HttpResponse | ExchangeFailed:
+        """Send ``request`` to ``address``; see ``ClientConnection.exchange``.
+
+        ``max_idle`` bounds how long the connection used may have been idle.
+        """
+        ends = self._loop.time() + timeout
+        connection = self._take(address, max_idle)
+        if connection is None:
+            limit = min(self._connect_timeout, timeout)
+            opened = await connect(
+                address.host, address.port, timeout=limit, silence_seconds=self._silence
+            )
+            if isinstance(opened, ExchangeFailed):
+                return opened
+            self.opened += 1
+            connection = opened
+        left = ends - self._loop.time()
+        if accept is None:
+            result = await connection.exchange(request, timeout=left)
+        else:
+            result = await connection.exchange(request, timeout=left, accept=accept)
+        if connection.is_open:
+            self._idle_by_address.setdefault(address, []).append(connection)
+        return result
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to ``address``."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in tuple(self._idle_by_address):
+            self.forget(address)
+
+    def _take(
+        self, address: Address, max_idle: float | None
+    ) -> ClientConnection | None:
+        idle = self._idle_by_address.get(address)
+        now = self._loop.time()
+        while idle:
+            connection = idle.pop()
+            limit = self._idle if max_idle is None else min(max_idle, self._idle)
+            if connection.server_idle_seconds is not None:
+                margin = connection.server_idle_seconds - IDLE_MARGIN_SECONDS
+                limit = min(limit, margin)
+            if connection.is_open and now - connection.idle_since <= limit:
+                return connection
+            connection.close()
+        return None
+
+
+__all__ = ["Address", "ConnectionPool", "FailureReason", "parse_address"]
--- /dev/null
+++ b/src/cassiasail/platform/configuration.py
@@ -0,0 +1,100 @@
+"""The operator's configuration from its row in the platform's store."""
+
+import json
+from typing import Any
+
+from .._internal.ids import ServiceName, Version
+from .._internal.state.mesh_config import (
+    DEFAULT_ATTEMPTS,
+    ClientLimits,
+    ConfigRejected,
+    MeshConfig,
+    MeshRoute,
+    MeshService,
+    Repeatable,
+    WeightedService,
+    checked,
+)
+from . import fields
+
+# The table and the key of the row that holds the newest configuration.
+TABLE = "op"
+KEY = "config"
+
+_REPEATABLE_BY_KIND = {"safe": Repeatable.SAFE, "unsafe": Repeatable.UNSAFE}
+
+
+def decode_configuration(data: bytes) -> MeshConfig | ConfigRejected:
+    """Return the configuration in ``data``, or why it is not taken."""
+    try:
+        document = json.loads(data)
+        config = MeshConfig(
+            version=Version(int(fields.text(document, "version"), 16)),
+            routes=tuple(
+                _route(name, entry)
+                for name, entry in fields.table(document, "routes").items()
+            ),
+            service_by_name={
+                ServiceName(name): _service(name, entry)
+                for name, entry in fields.table(document, "services").items()
+            },
+            limits=_limits(fields.table(document, "limits")),
+        )
+    except (fields.MalformedError, ValueError, RecursionError) as error:
+        return ConfigRejected(faults=(str(error),))
+    return checked(config)
+
+
+def _route(name: str, entry: Any) -> MeshRoute:
+    kind = fields.text(entry, "kind")
+    if kind not in _REPEATABLE_BY_KIND:
+        raise fields.MalformedError(f"route {name}: kind {kind!r} is not known")
+    attempts = (
+        fields.integer(entry, "maxAttempts")
+        if "maxAttempts" in entry
+        else DEFAULT_ATTEMPTS
+    )
+    return MeshRoute(
+        name=name,
+        host=fields.text(entry, "hostname").lower(),
+        prefix=fields.text(entry, "prefix"),
+        repeatable=_REPEATABLE_BY_KIND[kind],
+        timeout=fields.seconds(entry, "timeoutMs"),
+        objective=fields.seconds(entry, "sloMs"),
+        rank=fields.integer(entry, "priority") if "priority" in entry else 0,
+        attempts=attempts,
+        split=_split(name, entry),
+    )
+
+
+def _split(name: str, entry: Any) -> tuple[WeightedService, ...]:
+    if "trafficSplit" not in entry:
+        service = ServiceName(fields.text(entry, "service"))
+        return (WeightedService(service=service, weight=1.0),)
+    parts = entry["trafficSplit"]
+    if not isinstance(parts, list):
+        raise fields.MalformedError(f"route {name}: trafficSplit is not a list")
+    return tuple(
+        WeightedService(
+            service=ServiceName(fields.text(part, "service")),
+            weight=fields.number(part, "weight"),
+        )
+        for part in parts
+    )
+
+
+def _service(name: str, entry: Any) -> MeshService:
+    return MeshService(
+        name=ServiceName(name),
+        health_path=fields.text(entry, "healthCheck"),
+        max_connections=fields.integer(entry, "maxConnections"),
+    )
+
+
+def _limits(entry: Any) -> ClientLimits:
+    return ClientLimits(
+        header_bytes=fields.integer(entry, "maxHeaderBytes"),
+        body_bytes=fields.integer(entry, "maxBodyBytes"),
+        header_seconds=fields.seconds(entry, "headerTimeoutMs"),
+        idle_seconds=fields.seconds(entry, "idleTimeoutMs"),
+    )
