Serve a target again after its daemon was restarted

Cause: a daemon that was stopped published its target as leaving; its next life took that over from the store and ignored the target from then on. Change: a stopping daemon, and one that hears nothing from its target, publish 'suspended'; only 'leaving' and 'absent' bind the next life. Requests that will be late wait behind those in time, for at most 0.4 of their remaining time.

--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -43,6 +43,7 @@
 @dataclass(order=True, slots=True)
 class _Waiting:
     rank: int
+    late: bool
     number: int
     granted: "asyncio.Future[HostReason | None]" = field(compare=False)
 
@@ -50,8 +51,8 @@
 class Admission:
     """Slots of one target and the requests that wait for one.
 
-    ``await admission.enter(rank=1, max_wait=0.5)`` returns None once a slot is
-    held, or why there is none; a holder calls ``leave``.
+    ``enter(rank=1, late=False, max_wait=0.5)`` returns None once a slot is held, or
+    why there is none; a holder calls ``leave``.
     """
 
     def __init__(self, *, slots: int) -> None:
@@ -68,15 +69,17 @@
         """Number of requests that wait for a slot."""
         return len(self._waiting)
 
-    def expected_wait(self, rank: int) -> float:
-        """Return the seconds that a request of ``rank`` would wait now."""
+    def expected_wait(self, rank: int, late: bool) -> float:
+        """Return the seconds that a request would wait now."""
         if self.running < self.slots and not self._waiting:
             return 0.0
-        before = sum(1 for each in self._waiting if each.rank <= rank)
+        before = sum((each.rank, each.late) <= (rank, late) for each in self._waiting)
         excess = max(0, self.running - self.slots)
         return (before + excess + 1) * self.seconds.mean / self.slots
 
-    async def enter(self, *, rank: int, max_wait: float) -> HostReason | None:
+    async def enter(
+        self, *, rank: int, late: bool, max_wait: float
+    ) -> HostReason | None:
         """Wait at most ``max_wait`` seconds for a slot."""
         if self.closed is not None:
             return self.closed
@@ -85,9 +88,9 @@
             return None
         if len(self._waiting) >= MAX_WAITING_PER_SLOT * self.slots:
             return HostReason.BUSY
-        if self.expected_wait(rank) > max_wait:
+        if self.expected_wait(rank, late) > max_wait:
             return HostReason.BUSY
-        return await self._wait(rank, max_wait)
+        return await self._wait(rank, late, max_wait)
 
     def leave(self) -> None:
         """Give a slot back."""
@@ -107,9 +110,9 @@
         self.slots = slots
         self._grant()
 
-    async def _wait(self, rank: int, max_wait: float) -> HostReason | None:
+    async def _wait(self, rank: int, late: bool, max_wait: float) -> HostReason | None:
         self._count += 1
-        entry = _Waiting(rank, self._count, self._loop.create_future())
+        entry = _Waiting(rank, late, self._count, self._loop.create_future())
         heapq.heappush(self._waiting, entry)
         timer = self._loop.call_later(max_wait, self._expire, entry)
         try:
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -30,6 +30,9 @@
 # In the first round a target is asked to take the request only if it is then probably
 # in time; part of the objective that may pass before it starts to run.
 SOFT_WAIT_SHARE = 0.5
+# A request that will be late waits at most for this part of its remaining time. Beyond
+# that it is refused while there is time to ask again.
+LATE_WAIT_SHARE = 0.4
 # A request whose time is nearly over is not started: it would only take a slot.
 MIN_START_SECONDS = 0.005
 # How long a request waits for a target to appear when its service has none, as part of
@@ -80,7 +83,7 @@
     objective_ends: float
     offered: int = 0
     asks: int = 0
-    hard: bool = False
+    late: bool = False
     excluded: set[HostId] = field(default_factory=set)
     tries: list[str] = field(default_factory=list)
     failure: HostReason | None = None
@@ -170,11 +173,11 @@
                 objective=max(0.0, progress.objective_ends - now),
                 excluded=progress.excluded,
             )
-            if choice is not None or progress.hard:
+            if choice is not None or progress.late:
                 return choice
-            if progress.refusal not in (HostReason.BUSY, HostReason.EXPIRED):
+            if progress.refusal is not HostReason.BUSY:
                 return None
-            progress.hard = True
+            progress.late = True
             progress.excluded.clear()
         return None
 
@@ -198,7 +201,9 @@
     ) -> HostReply:
         view, route = choice.view, progress.route
         limit = left - choice.seconds
-        if not progress.hard:
+        if progress.late:
+            limit = min(limit, left * LATE_WAIT_SHARE)
+        else:
             soft = progress.objective_ends - self._loop.time() - choice.seconds
             limit = min(limit, soft * SOFT_WAIT_SHARE)
         hosted = HostedCall(
@@ -207,6 +212,7 @@
             rank=route.rank,
             route=route.name,
             safe=route.repeatable is Repeatable.SAFE,
+            late=progress.late,
             time_left=left,
             max_wait=max(0.0, limit),
         )
@@ -296,7 +302,11 @@
         if served and len(progress.tries) == 1:
             return
         outcome = type(answer).__name__
-        status = answer.status if isinstance(answer, TargetAnswer) else 0
+        status, reason = 0, ""
+        if isinstance(answer, TargetAnswer):
+            status = answer.status
+        elif isinstance(answer, NotRun | Unknown):
+            reason = answer.reason.value
         now = self._loop.time()
         self._events.write(
             "request_served" if served else "request_failed",
@@ -306,7 +316,7 @@
             version=config.version,
             outcome=outcome,
             status=status,
-            reason=getattr(answer, "reason", ""),
+            reason=reason,
             tries=progress.tries,
             offered=progress.offered,
             took_ms=int((now - call.arrived) * 1000),
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -200,7 +200,9 @@
             return _refused(refusal)
         admission = self._admission
         arrived = self._loop.time()
-        refusal = await admission.enter(rank=hosted.rank, max_wait=hosted.max_wait)
+        refusal = await admission.enter(
+            rank=hosted.rank, late=hosted.late, max_wait=hosted.max_wait
+        )
         if refusal is not None:
             return _refused(refusal)
         try:
--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from ...ids import ServiceName, TargetId
-from ...state.hosts import TargetState
+from ...state.hosts import HostRecord, TargetState
 
 # Lives of targets remembered as ended, against late reports.
 MAX_ENDED = 64
@@ -55,13 +55,14 @@
         self._changed = changed
         self._ended: dict[Life, None] = {}
         self._newest_born = 0
+        self._silent = False
         self.current: TargetReport | None = None
 
     @property
     def state(self) -> TargetState:
         """Whether the target takes new requests."""
         if self.current is None:
-            return TargetState.ABSENT
+            return TargetState.SUSPENDED if self._silent else TargetState.ABSENT
         return TargetState.LEAVING if self.current.leaving else TargetState.READY
 
     def report(self, report: TargetReport) -> ReportVerdict:
@@ -81,6 +82,7 @@
         if report.leaving:
             self._end(life)
         self.current = report
+        self._silent = False
         self._changed(report)
         return ReportVerdict.TAKEN
 
@@ -99,13 +101,21 @@
     def lose(self) -> None:
         """Forget a target that stopped reporting; it may report again."""
         self.current = None
+        self._silent = True
         self._changed(None)
 
-    def recall_leaving(self, target: TargetId, born: int) -> None:
-        """Take over from the store that this life of ``target`` has been leaving."""
-        self._end((target, born))
+    def recall(self, record: HostRecord) -> None:
+        """Take over from the store what a former life of this daemon knew.
+
+        A target whose daemon was restarted goes on; one that has been leaving does
+        not come back by a late report.
+        """
+        if record.state not in (TargetState.LEAVING, TargetState.ABSENT):
+            return
+        life = (record.target, record.born)
+        self._end(life)
         current = self.current
-        if current is not None and (current.target, current.born) == (target, born):
+        if current is not None and (current.target, current.born) == life:
             self.current = None
             self._changed(None)
 
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -29,6 +29,11 @@
 )
 # Status of replies without an answer of the target; only other daemons see it.
 _NO_ANSWER_STATUS = 299
+_TRUE, _FALSE = "1", "0"
+
+
+def _flag(value: bool) -> str:
+    return _TRUE if value else _FALSE
 
 
 def encode_call(hosted: HostedCall) -> HttpRequest:
@@ -38,7 +43,8 @@
         hosted.service,
         str(hosted.rank),
         hosted.route,
-        "1" if hosted.safe else "0",
+        _flag(hosted.safe),
+        _flag(hosted.late),
         str(int(hosted.time_left * 1000)),
         str(int(hosted.max_wait * 1000)),
         call.caller,
@@ -58,7 +64,7 @@
         return None
     try:
         fields = [unquote(each) for each in value.decode("ascii").split(",")]
-        service, rank, route, safe, left, wait, caller, attempt = fields
+        service, rank, route, safe, late, left, wait, caller, attempt = fields
         headers = tuple(
             pair for pair in request.headers if pair[0] not in _OWN_REQUEST_HEADERS
         )
@@ -78,7 +84,8 @@
             service=ServiceName(service),
             rank=int(rank),
             route=route,
-            safe=safe == "1",
+            safe=safe == _TRUE,
+            late=late == _TRUE,
             time_left=int(left) / 1000,
             max_wait=int(wait) / 1000,
         )
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -70,6 +70,9 @@
         self._limits = ConnectionLimits()
         self._stopping = False
         self._last_report = self._loop.time()
+        # The target that was reported last, also after it is gone.
+        self._named: TargetReport | None = None
+        self._published: tuple[TargetId, int, TargetState] | None = None
         self._build_pools()
         self._tables = TableStore(address=settings.store, pool=self._store_pool)
         self._host = Host(
@@ -194,7 +197,8 @@
         self._stopping = True
         self._events.write("stopping", in_flight=self._in_flight())
         self._host.stop_admitting()
-        self._publish(TargetState.LEAVING)
+        if self._registration.state is TargetState.READY:
+            self._publish(TargetState.SUSPENDED)
         self._clients_server.drain()
         self._peers_server.drain()
         ends = started + GRACE_SHARE * self._settings.grace
@@ -265,18 +269,17 @@
         return reports.ACKNOWLEDGED
 
     def _target_changed(self, report: TargetReport | None) -> None:
-        before = self._registration_state()
         self._host.set_target(report)
         state = self._registration.state
-        target = report.target if report is not None else ""
-        if (target, state) != before:
-            self._known_target = (target, state)
-            self._events.write("target_state", target=target, state=state.value)
+        named = report if report is not None else self._named
+        if named is None or (named.target, named.born, state) == self._published:
+            return
+        self._named = named
+        self._published = (named.target, named.born, state)
+        self._events.write("target_state", target=named.target, state=state.value)
+        if not self._stopping:
             self._publish(state)
 
-    def _registration_state(self) -> tuple[str, TargetState]:
-        return getattr(self, "_known_target", ("", TargetState.ABSENT))
-
     async def _watch_reports(self) -> None:
         interval = self._settings.report_interval
         while True:
@@ -292,39 +295,20 @@
                 self._registration.lose()
 
     def _publish(self, state: TargetState) -> None:
-        settings, report = self._settings, self._registration.current
-        if report is None:
-            own = self._fleet.view_by_host.get(settings.host)
-            if own is None:
-                return
-            absent = HostRecord(
-                host=settings.host,
-                address=str(settings.peers),
-                data_centre=settings.data_centre,
-                region=settings.region,
-                service=own.record.service,
-                target=own.record.target,
-                born=own.record.born,
-                slots=own.record.slots,
-                state=TargetState.ABSENT,
-            )
-            self._publish_record(absent)
+        settings, named = self._settings, self._named
+        if named is None:
             return
-        self._publish_record(
-            HostRecord(
-                host=settings.host,
-                address=str(settings.peers),
-                data_centre=settings.data_centre,
-                region=settings.region,
-                service=report.service,
-                target=report.target,
-                born=report.born,
-                slots=report.slots,
-                state=state,
-            )
+        record = HostRecord(
+            host=settings.host,
+            address=str(settings.peers),
+            data_centre=settings.data_centre,
+            region=settings.region,
+            service=named.service,
+            target=named.target,
+            born=named.born,
+            slots=named.slots,
+            state=state,
         )
-
-    def _publish_record(self, record: HostRecord) -> None:
         self._fleet.update(record)
         self._publisher.want(encode_record(record))
 
@@ -382,5 +366,4 @@
         if record is None or record.host in self._fleet.view_by_host:
             return
         # Written by a former life of this daemon.
-        if record.state is not TargetState.READY:
-            self._registration.recall_leaving(TargetId(record.target), record.born)
+        self._registration.recall(record)
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -33,7 +33,7 @@
     """A request as the daemon beside the target gets it; times in seconds.
 
     ``time_left`` is until the request is given up, ``max_wait`` how long it may wait
-    for a slot.
+    for a slot; ``late`` if it will probably miss its latency objective.
     """
 
     call: MeshCall
@@ -41,6 +41,7 @@
     rank: int
     route: str
     safe: bool
+    late: bool
     time_left: float
     max_wait: float
 
--- a/src/cassiasail/_internal/state/hosts.py
+++ b/src/cassiasail/_internal/state/hosts.py
@@ -15,9 +15,15 @@
 
 
 class TargetState(Enum):
-    """Whether a target takes new requests; the value is the stored one."""
+    """Whether a target takes new requests; the value is the stored one.
+
+    A ``SUSPENDED`` target is not to be used for now, because its daemon restarts or
+    hears nothing from it; the same life of it may be ready again. A ``LEAVING`` or
+    ``ABSENT`` one is not used again in this life.
+    """
 
     READY = "ready"
+    SUSPENDED = "suspended"
     LEAVING = "leaving"
     ABSENT = "absent"
 
