--- /dev/null
+++ b/tests/unit/mesh/test_http1_client.py
@@ -0,0 +1,144 @@
+"""Answers as faulty servers send them."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
+from cassiasail._internal.transport.http1.client import ExchangeFailed, FailureReason
+from cassiasail._internal.transport.http1.pool import Address, ConnectionPool
+
+REQUEST = HttpRequest(method=b"GET", target=b"/", headers=((b"host", b"h"),))
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+Result = HttpResponse | ExchangeFailed
+
+
+def exchange(
+    *answers: bytes, reset: bool = False, close: bool = True, attempt: bytes = b""
+) -> tuple[list[Result], int]:
+    """Return the results of one request for each answer, and the connections used."""
+
+    async def main() -> tuple[list[Result], int]:
+        left = list(answers)
+        opened = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal opened
+            opened += 1
+            while left:
+                try:
+                    await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    break
+                writer.write(left.pop(0))
+                await writer.drain()
+                if reset:
+                    await asyncio.sleep(0.05)
+                    linger = struct.pack("ii", 1, 0)
+                    opened_socket = writer.get_extra_info("socket")
+                    opened_socket.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+                    writer.transport.abort()
+                    return
+            if close:
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        pool = ConnectionPool(connect_timeout=1, silence=1, idle=10)
+
+        def is_own(response: HttpResponse) -> bool:
+            return not attempt or response.header(b"id") == attempt
+
+        results = []
+        for _ in answers:
+            result = await pool.exchange(address, REQUEST, timeout=0.5, accept=is_own)
+            results.append(result)
+            await asyncio.sleep(0.02)
+        pool.close()
+        server.close()
+        return results, opened
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        (b"", FailureReason.CUT_SHORT),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", FailureReason.CUT_SHORT),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            FailureReason.CUT_SHORT,
+        ),
+        (b"spoiled bytes\r\n\r\n", FailureReason.MALFORMED),
+    ],
+)
+def test_a_partial_answer_is_a_failure(answer: bytes, reason: FailureReason) -> None:
+    """Guards against truncated or spoiled answers that look whole."""
+    results, _ = exchange(answer)
+    assert results == [ExchangeFailed(reason=reason, sent=True)]
+
+
+def test_an_answer_without_length_ends_with_its_connection() -> None:
+    """Guards against losing unframed answers that ended cleanly."""
+    results, _ = exchange(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+    assert isinstance(results[0], HttpResponse)
+    assert results[0].body == b"all of it"
+
+
+def test_a_reset_ends_an_unframed_answer_as_a_failure() -> None:
+    """Guards against an unframed answer that was cut on its way."""
+    results, _ = exchange(b"HTTP/1.1 200 OK\r\n\r\npart of it", reset=True)
+    assert isinstance(results[0], ExchangeFailed)
+
+
+def test_bytes_behind_an_answer_end_the_connection() -> None:
+    """Guards against a second answer that is taken for that of the next request."""
+    results, opened = exchange(OK + OK, OK)
+    assert all(isinstance(each, HttpResponse) for each in results)
+    assert opened == 2
+
+
+def test_a_late_answer_of_another_request_is_skipped() -> None:
+    """Guards against an extra answer that reaches the wrong client."""
+    stray = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nold"
+    own = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nnew"
+    results, _ = exchange(stray + own, attempt=b"2")
+    assert isinstance(results[0], HttpResponse)
+    assert results[0].body == b"new"
+
+
+def test_a_kept_connection_is_used_again() -> None:
+    """Guards against a new connection for each request."""
+    _, opened = exchange(OK, OK, OK)
+    assert opened == 1
+
+
+def test_an_announced_close_is_kept_to() -> None:
+    """Guards against a request that is sent into a closing connection."""
+    closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    _, opened = exchange(closing, OK)
+    assert opened == 2
+
+
+def test_silence_ends_in_a_timeout() -> None:
+    """Guards against a request that waits for ever."""
+    results, _ = exchange(b"HTTP/1.1 100 Continue\r\n\r\n", close=False)
+    assert results == [ExchangeFailed(reason=FailureReason.TIMED_OUT, sent=True)]
+
+
+def test_a_refused_connection_says_that_nothing_was_sent() -> None:
+    """Guards against calling a request possibly run that never left."""
+
+    async def main() -> Result:
+        pool = ConnectionPool(connect_timeout=1, silence=1, idle=10)
+        return await pool.exchange(Address("127.0.0.1", 1), REQUEST, timeout=1)
+
+    expected = ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
+    assert asyncio.run(main()) == expected
--- /dev/null
+++ b/tests/unit/mesh/test_http1_server.py
@@ -0,0 +1,188 @@
+"""Requests as clients send them, well formed and not."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
+from cassiasail._internal.transport.http1.server import ConnectionLimits, HttpServer
+
+LIMITS = ConnectionLimits(
+    header_bytes=1000, body_bytes=2000, header_seconds=0.2, idle_seconds=0.4
+)
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def echo(request: HttpRequest) -> HttpResponse:
+    host = request.header(b"host") or b""
+    body = b"|".join((request.method, request.target, host, request.body))
+    return HttpResponse(status=200, body=body)
+
+
+def talk(
+    payload: bytes,
+    *,
+    handler: Callable[[HttpRequest], Awaitable[HttpResponse | None]] = echo,
+    drain: bool = False,
+) -> bytes:
+    """Send ``payload`` and return all that comes until the server closes."""
+
+    async def main() -> bytes:
+        server = HttpServer(handler=handler, limits=lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        if drain:
+            server.drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port_of(server))
+        writer.write(payload)
+        data = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        await server.stop()
+        return data
+
+    return asyncio.run(main())
+
+
+def port_of(server: HttpServer) -> int:
+    assert server._server is not None
+    return int(server._server.sockets[0].getsockname()[1])
+
+
+def statuses(data: bytes) -> list[int]:
+    return [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
+
+
+def test_pipelined_answers_keep_the_order_of_the_requests() -> None:
+    """Guards against answers that reach the wrong request of a connection."""
+
+    async def slower_first(request: HttpRequest) -> HttpResponse:
+        await asyncio.sleep(0.1 if request.target == b"/1" else 0)
+        return HttpResponse(status=200, body=b"<" + request.target + b">")
+
+    payload = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+    data = talk(payload, handler=slower_first)
+    assert data.index(b"</1>") < data.index(b"</2>")
+
+
+def test_requests_behind_a_closing_one_are_not_run() -> None:
+    """Guards against a request that runs although its client counts it as not read."""
+    seen = []
+
+    async def count(request: HttpRequest) -> HttpResponse:
+        seen.append(request.target)
+        return HttpResponse(status=200)
+
+    first = b"GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    data = talk(first + GET, handler=count)
+    assert statuses(data) == [200]
+    assert seen == [b"/1"]
+
+
+def test_an_unsafe_request_waits_for_those_before_it() -> None:
+    """Guards against an order that runs behind an answer that closes."""
+    running = 0
+
+    async def alone(request: HttpRequest) -> HttpResponse:
+        nonlocal running
+        running += 1
+        assert running == 1
+        await asyncio.sleep(0.02)
+        running -= 1
+        return HttpResponse(status=200)
+
+    post = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+    assert statuses(talk(GET + post, handler=alone)) == [200, 200]
+
+
+@pytest.mark.parametrize(
+    ("payload", "status"),
+    [
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\nabc",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            400,
+        ),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 1500 + b"\r\n\r\n", 431),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 5000, 431),
+        (b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2001\r\n\r\n", 413),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"bb8\r\n" + b"x" * 3000,
+            413,
+        ),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\n", 408),
+        (b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab", 408),
+    ],
+)
+def test_bad_input_gets_its_status_and_an_end(payload: bytes, status: int) -> None:
+    """Guards against smuggled requests, endless heads and oversized input."""
+    assert statuses(talk(payload)) == [status]
+
+
+def test_absolute_form_is_taken_as_its_origin_form() -> None:
+    """Guards against a 404 for a request target that servers have to accept."""
+    data = talk(b"GET http://other.example/x?y=1 HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert b"GET|/x?y=1|other.example|" in data
+
+
+def test_chunked_and_plain_bodies_arrive_whole() -> None:
+    """Guards against lost or reordered pieces of a body."""
+    data = talk(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nfg"
+    )
+    assert b"POST|/a|h|abcde" in data
+    assert b"POST|/b|h|fg" in data
+
+
+def test_a_draining_server_closes_behind_its_answer() -> None:
+    """Guards against kept connections that outlive a shutdown."""
+    data = talk(GET, drain=True)
+    assert statuses(data) == [200]
+    assert b"connection: close" in data
+
+
+def test_the_head_of_an_answer_without_body_is_sent_alone() -> None:
+    """Guards against body bytes behind the answer to HEAD."""
+    data = talk(b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert data.endswith(b"\r\n\r\n")
+
+
+def test_a_client_that_leaves_cancels_its_request() -> None:
+    """Guards against work for clients that are gone."""
+
+    async def main() -> bool:
+        cancelled = asyncio.Event()
+
+        async def slow(request: HttpRequest) -> HttpResponse:
+            try:
+                await asyncio.sleep(5)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+            return HttpResponse(status=200)
+
+        server = HttpServer(handler=slow, limits=lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        _, writer = await asyncio.open_connection("127.0.0.1", port_of(server))
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.wait_for(cancelled.wait(), 0.5)
+        await server.stop()
+        return True
+
+    assert asyncio.run(main())
