Hand tables of the store on inside a data centre

Change: in each data centre the VM with the widest link asks the store, the others ask it; every answer tells how long ago the store confirmed it, and a source that is cut off, behind or silent is passed over.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -16,6 +16,7 @@
 from ...state.hosts import HostId, HostRecord, TargetState
 from ...transport.http1.pool import Address, parse_address
 from .admission import FIRST_SECONDS, SAMPLE_WEIGHT
+from .following import PeerOrder
 
 # Bytes between data centres are paid for by volume, and those between regions share
 # one slow link; an answer that would be late weighs more than either.
@@ -36,6 +37,10 @@
 # First pause after a VM did not answer, doubled each time up to the second one.
 FIRST_SUSPICION_SECONDS = 0.5
 MAX_SUSPICION_SECONDS = 8.0
+# VMs asked for tables when the store does not answer: in the own data centre, and in
+# the others, where the bytes are dear.
+NEAR_SOURCES = 2
+FAR_SOURCES = 2
 
 
 class Distance(IntEnum):
@@ -138,6 +143,31 @@
             if record.service == service and record.state is TargetState.READY:
                 yield view
 
+    def relay_order(self, own: HostId) -> PeerOrder:
+        """Return whom to ask for tables of the store, in the order of this VM.
+
+        The VMs of a data centre are ordered by the rate of their links, the widest
+        first, because the first ones serve all others. Those before this VM are asked
+        first; some of the others only if the store does not answer.
+        """
+        views = self.view_by_host.values()
+        ordered = sorted(
+            (view for view in views if view.distance is Distance.SAME_DATA_CENTRE),
+            key=lambda view: (-view.record.link_mbps, view.record.host),
+        )
+        names = [view.record.host for view in ordered]
+        place = names.index(own) if own in names else len(names)
+        far = [
+            view.address
+            for view in views
+            if view.distance is not Distance.SAME_DATA_CENTRE
+        ]
+        others = [view.address for view in ordered[place + 1 :]][:NEAR_SOURCES]
+        return PeerOrder(
+            before=tuple(view.address for view in ordered[:place]),
+            behind=tuple(others + far[:FAR_SOURCES]),
+        )
+
     def choose(
         self,
         service: ServiceName,
--- /dev/null
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -0,0 +1,248 @@
+"""Keeps a copy of one table of the store up to date at the least cost.
+
+In each data centre the first VMs of a fixed order ask the store; the others ask them,
+because a call to the store costs more than one inside the data centre, and a large
+configuration must cross the link between regions only a few times. Every answer tells
+how long ago the store confirmed it. A source whose knowledge is too old is passed over,
+so a daemon whose source is cut off asks the next VM, the store, or as a last resort a
+VM of another data centre.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from ...events import EventLog
+from ...protocol import table_sync
+from ...protocol.table_sync import SyncQuery, SyncReply
+from ...state.table_mirror import StoredRow, TableDelta, TableMirror
+from ...transport.http1.client import ExchangeFailed
+from ...transport.http1.pool import Address, ConnectionPool
+from .shared_tables import HistoryGone, SharedTables, StoreFailed
+
+# Pause before a source that failed is asked again, doubled each time up to the second
+# figure; with jitter, so that daemons do not return together.
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 2.0
+# The VMs that the others of a data centre rely on look for the store's return often.
+MAX_RELAY_PAUSE_SECONDS = 0.5
+# Changes in quick succession are read together: a storm of configurations costs a call
+# for each such span and not for each configuration.
+GATHER_SECONDS = 0.25
+# A peer answers from memory; later than its wait by this much, it is not well.
+PEER_MARGIN_SECONDS = 0.3
+# VMs of the own data centre that are asked before the store.
+RELAYS = 2
+# Bounds how long a follower is kept waiting, whatever it asks for.
+MAX_WAIT_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FollowTimes:
+    """Times in seconds: one call's ``wait`` for changes, and the oldest knowledge."""
+
+    wait: float
+    max_age: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerOrder:
+    """Addresses to ask: before the store, and when the store does not answer."""
+
+    before: tuple[Address, ...]
+    behind: tuple[Address, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Failed:
+    reason: str
+
+
+class _Pauses:
+    """When each source may be asked again."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._until_by_source: dict[Address | None, float] = {}
+        self._seconds_by_source: dict[Address | None, float] = {}
+
+    def until(self, source: Address | None) -> float:
+        return self._until_by_source.get(source, 0.0)
+
+    def failed(self, source: Address | None, now: float, longest: float) -> None:
+        seconds = self._seconds_by_source.get(source, FIRST_PAUSE_SECONDS)
+        jitter = self._random.uniform(0.5, 1.0)
+        self._until_by_source[source] = now + seconds * jitter
+        self._seconds_by_source[source] = min(longest, 2 * seconds)
+
+    def worked(self, source: Address | None) -> None:
+        self._until_by_source.pop(source, None)
+        self._seconds_by_source.pop(source, None)
+
+
+class TableFollower:
+    """Follows one table; ``run`` never ends by itself.
+
+    ``changed`` gets each new, changed or deleted row; ``peers`` the present order of
+    peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: SharedTables,
+        table: str,
+        pool: ConnectionPool,
+        times: FollowTimes,
+        peers: Callable[[], PeerOrder],
+        changed: Callable[[StoredRow], None],
+        events: EventLog,
+        random: Random,
+    ) -> None:
+        self._tables = tables
+        self._table = table
+        self._pool = pool
+        self._times = times
+        self._peers = peers
+        self._events = events
+        self._mirror = TableMirror(changed=changed)
+        self._loop = asyncio.get_running_loop()
+        self._pauses = _Pauses(random)
+        self._confirmed_at = float("-inf")
+        self._news = asyncio.Event()
+        # None is the store.
+        self._source: Address | None = None
+        self._lost_since: float | None = None
+        self._read_all = True
+        self._stopped = False
+        self.read_once = asyncio.Event()
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store confirmed this copy."""
+        return self._loop.time() - self._confirmed_at
+
+    def stop(self) -> None:
+        """Send followers elsewhere from now on."""
+        self._stopped = True
+        self._tell_followers()
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            source = await self._next_source()
+            reply = await self._poll(source)
+            if isinstance(reply, _Failed):
+                self._source_failed(source, reply.reason)
+                continue
+            if reply.age > self._times.max_age:
+                self._source_failed(source, "too_old")
+                continue
+            if not self._mirror.apply(reply.delta):
+                self._source_failed(source, "behind")
+                continue
+            self._source_worked(source, reply)
+            if reply.delta.rows:
+                self._tell_followers()
+                await asyncio.sleep(GATHER_SECONDS)
+
+    async def serve(self, query: SyncQuery) -> SyncReply:
+        """Answer a follower as soon as there is news, or after its wait."""
+        ends = self._loop.time() + min(query.wait, MAX_WAIT_SECONDS)
+        while True:
+            if self._stopped:
+                nothing = TableDelta(rows=(), version=0)
+                return SyncReply(delta=nothing, age=float("inf"))
+            delta = self._mirror.since(query.after)
+            left = ends - self._loop.time()
+            if delta.rows or left <= 0 or self.age > self._times.max_age:
+                return SyncReply(delta=delta, age=self.age)
+            news = self._news
+            try:
+                async with asyncio.timeout(left):
+                    await news.wait()
+            except TimeoutError:
+                continue
+
+    def _tell_followers(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+    async def _next_source(self) -> Address | None:
+        """Return the first source that may be asked, waiting for one if need be."""
+        while True:
+            now = self._loop.time()
+            order = self._peers()
+            sources = (*order.before[:RELAYS], None, *order.behind)
+            for source in sources:
+                if self._pauses.until(source) <= now:
+                    return source
+            soonest = min(self._pauses.until(source) for source in sources)
+            await asyncio.sleep(max(0.01, soonest - now))
+
+    async def _poll(self, source: Address | None) -> SyncReply | _Failed:
+        if source is None:
+            return await self._poll_store()
+        query = SyncQuery(
+            table=self._table, after=self._mirror.version, wait=self._times.wait
+        )
+        result = await self._pool.exchange(
+            source,
+            table_sync.encode_query(query),
+            timeout=query.wait + PEER_MARGIN_SECONDS,
+        )
+        if isinstance(result, ExchangeFailed):
+            return _Failed(reason=result.reason.value)
+        return table_sync.decode_reply(result) or _Failed(reason="malformed")
+
+    async def _poll_store(self) -> SyncReply | _Failed:
+        if self._read_all or not self._mirror.version:
+            result = await self._tables.read(self._table)
+        else:
+            # A store that confirmed nothing lately may have gone silent on this
+            # connection; an answer without a wait tells soonest.
+            wait = self._times.wait if self.age <= self._times.max_age else 0.0
+            changes = await self._tables.changes(
+                self._table, after=self._mirror.version, wait=wait
+            )
+            if isinstance(changes, HistoryGone):
+                self._events.write("history_gone", table=self._table)
+                self._read_all = True
+                return await self._poll_store()
+            result = changes
+        if isinstance(result, StoreFailed):
+            return _Failed(reason=result.reason)
+        self._read_all = False
+        return SyncReply(delta=result, age=0.0)
+
+    def _source_failed(self, source: Address | None, reason: str) -> None:
+        longest = MAX_PAUSE_SECONDS
+        if source is None and not self._peers().before:
+            longest = MAX_RELAY_PAUSE_SECONDS
+        self._pauses.failed(source, self._loop.time(), longest)
+        if source == self._source:
+            # Followers must not wait for one that hears nothing itself.
+            self._tell_followers()
+        if source is None and self._lost_since is None:
+            self._lost_since = self._loop.time()
+            self._events.write("store_lost", table=self._table, reason=reason)
+        elif source is not None:
+            self._events.write(
+                "relay_failed", table=self._table, relay=str(source), reason=reason
+            )
+
+    def _source_worked(self, source: Address | None, reply: SyncReply) -> None:
+        now = self._loop.time()
+        self._pauses.worked(source)
+        self._confirmed_at = max(self._confirmed_at, now - reply.age)
+        self.read_once.set()
+        if source != self._source:
+            self._source = source
+            self._events.write(
+                "source", table=self._table, source=str(source or "store")
+            )
+        if source is None and self._lost_since is not None:
+            away = int((now - self._lost_since) * 1000)
+            self._lost_since = None
+            self._events.write("store_regained", table=self._table, away_ms=away)
--- a/src/cassiasail/_internal/coordination/mesh/publishing.py
+++ b/src/cassiasail/_internal/coordination/mesh/publishing.py
@@ -8,17 +8,14 @@
 from random import Random
 
 from ...events import EventLog
-from .shared_tables import (
-    ConditionalWrite,
-    SharedTables,
-    StoredRow,
-    WriteConflict,
-    WriteDone,
-)
-from .watching import FIRST_PAUSE_SECONDS, MAX_PAUSE_SECONDS
+from ...state.table_mirror import StoredRow
+from .following import FIRST_PAUSE_SECONDS
+from .shared_tables import ConditionalWrite, SharedTables, WriteConflict, WriteDone
 
 # Several changes of the target within this time become one write.
 GATHER_SECONDS = 0.05
+# Longest pause between two tries, well inside the time in which others should know.
+MAX_PAUSE_SECONDS = 0.8
 
 
 class RecordPublisher:
--- a/src/cassiasail/_internal/coordination/mesh/shared_tables.py
+++ b/src/cassiasail/_internal/coordination/mesh/shared_tables.py
@@ -4,24 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoredRow:
-    """One row; ``version`` is that of the transaction that wrote it."""
-
-    key: str
-    value: bytes
-    version: int
-    deleted: bool = False
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RowsPage:
-    """Rows as of ``version``; ``more`` if the page does not hold all."""
-
-    rows: tuple[StoredRow, ...]
-    version: int
-    more: bool = False
+from ...state.table_mirror import StoredRow, TableDelta
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,15 +49,13 @@
 class SharedTables(Protocol):
     """The platform's store; no call raises for an outage."""
 
-    async def read(
-        self, table: str, *, start: str | None = None, limit: int | None = None
-    ) -> RowsPage | StoreFailed:
-        """Return rows of ``table`` from the key ``start`` on."""
+    async def read(self, table: str) -> TableDelta | StoreFailed:
+        """Return all rows of ``table``."""
         ...
 
     async def changes(
         self, table: str, *, after: int, wait: float
-    ) -> RowsPage | HistoryGone | StoreFailed:
+    ) -> TableDelta | HistoryGone | StoreFailed:
         """Return changes behind version ``after``, waiting up to ``wait`` seconds."""
         ...
 
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -1,6 +1,7 @@
 """Parts of one sidecar daemon and how they are connected."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from ...exceptions import SettingsError
@@ -11,18 +12,18 @@
 from ..coordination.mesh.balancing import Fleet, HostView
 from ..coordination.mesh.budget import RetryBudget
 from ..coordination.mesh.entry import Entry
+from ..coordination.mesh.following import FollowTimes, TableFollower
 from ..coordination.mesh.hosting import Host
 from ..coordination.mesh.publishing import RecordPublisher
 from ..coordination.mesh.registration import TargetRegistration, TargetReport
-from ..coordination.mesh.shared_tables import StoredRow
-from ..coordination.mesh.watching import TableWatch
 from ..events import EventLog
 from ..ids import TargetId
-from ..protocol import peer_calls
+from ..protocol import peer_calls, table_sync
 from ..protocol.http1 import HttpRequest, HttpResponse
 from ..state.calls import HostedCall, HostReply
 from ..state.hosts import HostRecord, TargetState, decode_record, encode_record
 from ..state.mesh_config import ConfigRejected, MeshConfig
+from ..state.table_mirror import StoredRow
 from ..transport.http1.pool import ConnectionPool
 from ..transport.http1.server import ConnectionLimits, HttpServer
 
@@ -44,10 +45,14 @@
 STORE_CONNECT_SECONDS = 0.5
 STORE_SILENCE_SECONDS = 1.0
 STORE_IDLE_SECONDS = 5.0
-# How long one call waits for changes. An answer lost on its way is noticed only after
-# it, so the wait for the configuration is well below the time that it may take.
-CONFIG_WAIT_SECONDS = 2.5
-HOSTS_WAIT_SECONDS = 5.0
+# Parts of the time within which a configuration must be in force. One call waits for
+# changes this long, so an answer that is lost on its way is noticed soon enough; older
+# knowledge of a relay is not relied on.
+CONFIG_WAIT_SHARE = 0.5
+CONFIG_AGE_SHARE = 0.75
+# Targets tell by themselves that they leave; the table brings new ones.
+HOSTS_WAIT_SECONDS = 3.0
+HOSTS_AGE_SECONDS = 4.0
 # A target that misses this many reports in a row is taken for dead.
 MISSED_REPORTS = 4
 # Part of the grace time after which the daemon exits even with requests in flight.
@@ -127,19 +132,34 @@
             events=self._events,
             random=self._random,
         )
-        self._config_watch = TableWatch(
-            tables=self._tables,
-            table=configuration.TABLE,
-            wait=CONFIG_WAIT_SECONDS,
-            changed=self._config_row_changed,
-            events=self._events,
-            random=self._random,
+        apply = self._settings.config_apply
+        self._config_follower = self._follower(
+            configuration.TABLE,
+            FollowTimes(
+                wait=CONFIG_WAIT_SHARE * apply, max_age=CONFIG_AGE_SHARE * apply
+            ),
+            self._config_row_changed,
         )
-        self._hosts_watch = TableWatch(
+        self._hosts_follower = self._follower(
+            HOSTS_TABLE,
+            FollowTimes(wait=HOSTS_WAIT_SECONDS, max_age=HOSTS_AGE_SECONDS),
+            self._host_row_changed,
+        )
+        self._follower_by_table = {
+            configuration.TABLE: self._config_follower,
+            HOSTS_TABLE: self._hosts_follower,
+        }
+
+    def _follower(
+        self, table: str, times: FollowTimes, changed: Callable[[StoredRow], None]
+    ) -> TableFollower:
+        return TableFollower(
             tables=self._tables,
-            table=HOSTS_TABLE,
-            wait=HOSTS_WAIT_SECONDS,
-            changed=self._host_row_changed,
+            table=table,
+            pool=self._peer_pool,
+            times=times,
+            peers=lambda: self._fleet.relay_order(self._settings.host),
+            changed=changed,
             events=self._events,
             random=self._random,
         )
@@ -165,7 +185,7 @@
         return (
             not self._stopping
             and self._config is not None
-            and self._hosts_watch.read_once.is_set()
+            and self._hosts_follower.read_once.is_set()
         )
 
     async def start(self) -> None:
@@ -179,8 +199,8 @@
         ):
             await server.start(address.host, address.port)
         self._tasks = [
-            asyncio.create_task(self._config_watch.run()),
-            asyncio.create_task(self._hosts_watch.run()),
+            asyncio.create_task(self._config_follower.run()),
+            asyncio.create_task(self._hosts_follower.run()),
             asyncio.create_task(self._publisher.run()),
             asyncio.create_task(self._watch_reports()),
         ]
@@ -199,6 +219,8 @@
         self._host.stop_admitting()
         if self._registration.state is TargetState.READY:
             self._publish(TargetState.SUSPENDED)
+        for follower in self._follower_by_table.values():
+            follower.stop()
         self._clients_server.drain()
         self._peers_server.drain()
         ends = started + GRACE_SHARE * self._settings.grace
@@ -236,11 +258,20 @@
         return requests.encode_answer(await self._entry.serve(call), call.attempt)
 
     async def _serve_peer(self, request: HttpRequest) -> HttpResponse:
+        query = table_sync.decode_query(request)
+        if query is not None:
+            return await self._serve_table(query)
         hosted = peer_calls.decode_call(request)
         if hosted is None:
             return HttpResponse(status=400)
         return peer_calls.encode_reply(await self._host.run(hosted))
 
+    async def _serve_table(self, query: table_sync.SyncQuery) -> HttpResponse:
+        follower = self._follower_by_table.get(query.table)
+        if follower is None:
+            return HttpResponse(status=404)
+        return table_sync.encode_reply(await follower.serve(query))
+
     async def _ask(self, view: HostView, hosted: HostedCall) -> HostReply:
         if view.record.host == self._settings.host:
             return await self._host.run(hosted)
@@ -308,6 +339,7 @@
             born=named.born,
             slots=named.slots,
             state=state,
+            link_mbps=int(settings.link_mbps),
         )
         self._fleet.update(record)
         self._publisher.want(encode_record(record))
--- a/src/cassiasail/_internal/state/hosts.py
+++ b/src/cassiasail/_internal/state/hosts.py
@@ -30,7 +30,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostRecord:
-    """One VM: how its daemon is reached and which target it serves."""
+    """One VM: how its daemon is reached and which target it serves.
+
+    ``link_mbps`` is the rate of its link in Mbit/s.
+    """
 
     host: HostId
     address: str
@@ -41,6 +44,7 @@
     born: int
     slots: int
     state: TargetState
+    link_mbps: int
 
 
 def encode_record(record: HostRecord) -> bytes:
@@ -55,6 +59,7 @@
             record.born,
             record.slots,
             record.state.value,
+            record.link_mbps,
         ]
     )
 
@@ -62,13 +67,14 @@
 def decode_record(host: HostId, data: bytes) -> HostRecord | None:
     """Return the record of ``host``, None if the bytes are not one."""
     try:
-        address, data_centre, region, service, target, born, slots, state = cbor2.loads(
-            data
-        )
+        fields = cbor2.loads(data)
+        address, data_centre, region, service, target, born, slots, state, link = fields
         texts = (address, data_centre, region, service, target)
         if not all(isinstance(text, str) for text in texts):
             return None
-        if not isinstance(born, int) or not isinstance(slots, int) or slots < 1:
+        if not all(isinstance(number, int) for number in (born, slots, link)):
+            return None
+        if slots < 1:
             return None
         return HostRecord(
             host=host,
@@ -80,6 +86,7 @@
             born=born,
             slots=slots,
             state=TargetState(state),
+            link_mbps=link,
         )
     except (cbor2.CBORDecodeError, TypeError, ValueError):
         return None
--- a/src/cassiasail/platform/settings.py
+++ b/src/cassiasail/platform/settings.py
@@ -20,7 +20,9 @@
     ``clients`` is where clients and the target of this VM send requests,
     ``peers`` where other daemons do, ``reports`` where the target reports.
     ``drain`` is the time after which an acknowledged leaving target gets nothing
-    more, ``grace`` the time between SIGTERM and SIGKILL.
+    more, ``grace`` the time between SIGTERM and SIGKILL, ``config_apply`` the time
+    within which a configuration must be in force. ``link_mbps`` is the rate of the
+    link of this VM in Mbit/s.
     """
 
     host: str
@@ -40,6 +42,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window: float
+    link_mbps: float
 
 
 def decode_settings(document: bytes) -> SidecarSettings:
@@ -80,6 +83,7 @@
         "retry_ratio": read(fields.number, f"{bounds}/retryBudgetRatio"),
         "retry_slack": read(fields.number, f"{bounds}/budgetSlack"),
         "retry_window": read(fields.number, f"{bounds}/budgetWindowS"),
+        "link_mbps": read(fields.number, "self/limits/linkMbps"),
     }
     if faults:
         raise SettingsError(faults)
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -3,19 +3,18 @@
 import base64
 import json
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 from .._internal.coordination.mesh.shared_tables import (
     ConditionalWrite,
     HistoryGone,
-    RowsPage,
-    StoredRow,
     StoreFailed,
     WriteConflict,
     WriteDone,
 )
 from .._internal.protocol.http1 import HttpRequest, HttpResponse
+from .._internal.state.table_mirror import StoredRow, TableDelta
 from .._internal.transport.http1.client import ExchangeFailed
 from .._internal.transport.http1.pool import Address, ConnectionPool
 from . import fields
@@ -24,7 +23,7 @@
 # for the call, which is then made again.
 CALL_SECONDS = 1.0
 # Time for the answer of a call that waits for changes, beyond its wait.
-WAIT_MARGIN_SECONDS = 1.0
+WAIT_MARGIN_SECONDS = 0.5
 # The rows of the system lie in one part, so that a transaction covers any of them.
 _PART = ""
 
@@ -37,21 +36,27 @@
         self._pool = pool
         self.calls = 0
 
-    async def read(
-        self, table: str, *, start: str | None = None, limit: int | None = None
-    ) -> RowsPage | StoreFailed:
-        """Return rows of ``table`` from the key ``start`` on."""
-        query: dict[str, str] = {"table": table, "part": _PART}
-        if start is not None:
-            query["from"] = start
-        if limit is not None:
-            query["limit"] = str(limit)
-        result = await self._get("/v1/rows-get", query, CALL_SECONDS)
-        return _page(result)
+    async def read(self, table: str) -> TableDelta | StoreFailed:
+        """Return all rows of ``table``; pages are joined as of the oldest one."""
+        rows: dict[str, StoredRow] = {}
+        query = {"table": table, "part": _PART}
+        version: int | None = None
+        while True:
+            page = _page(await self._get("/v1/rows-get", query, CALL_SECONDS))
+            if isinstance(page, StoreFailed):
+                return page
+            rows.update((row.key, row) for row in page.delta.rows)
+            # Later pages may be newer; the feed repeats what came in between.
+            version = page.delta.version if version is None else version
+            if not page.more or not page.delta.rows:
+                kept = tuple(rows.values())
+                return TableDelta(rows=kept, version=version, whole=True)
+            # The smallest key behind the last one.
+            query["from"] = page.delta.rows[-1].key + "\0"
 
     async def changes(
         self, table: str, *, after: int, wait: float
-    ) -> RowsPage | HistoryGone | StoreFailed:
+    ) -> TableDelta | HistoryGone | StoreFailed:
         """Return changes behind version ``after``, waiting up to ``wait`` seconds."""
         query = {
             "table": table,
@@ -61,7 +66,8 @@
         result = await self._get("/v1/rows-feed", query, wait + WAIT_MARGIN_SECONDS)
         if isinstance(result, HttpResponse) and result.status == 410:
             return HistoryGone()
-        return _page(result)
+        page = _page(result)
+        return page if isinstance(page, StoreFailed) else page.delta
 
     async def write(
         self, table: str, writes: Sequence[ConditionalWrite]
@@ -108,16 +114,19 @@
         return ((b"host", str(self._address).encode()),)
 
 
-def _page(result: HttpResponse | ExchangeFailed) -> RowsPage | StoreFailed:
+class _Page(NamedTuple):
+    delta: TableDelta
+    more: bool
+
+
+def _page(result: HttpResponse | ExchangeFailed) -> _Page | StoreFailed:
     if isinstance(result, ExchangeFailed) or result.status != 200:
         return _failed(result)
     try:
         document = json.loads(result.body)
-        return RowsPage(
-            rows=_rows(document),
-            version=fields.integer(document, "ver"),
-            more=bool(document.get("hasMore", False)),
-        )
+        version = fields.integer(document, "ver")
+        delta = TableDelta(rows=_rows(document), version=version)
+        return _Page(delta=delta, more=bool(document.get("hasMore", False)))
     except (fields.MalformedError, ValueError) as error:
         return StoreFailed(reason=f"malformed: {error}", may_have_happened=False)
 
--- /dev/null
+++ b/tests/lib/events.py
@@ -0,0 +1,10 @@
+"""An event log that nobody reads."""
+
+import os
+
+from cassiasail._internal.events import EventLog
+
+
+def silent_events() -> EventLog:
+    """Return a log that writes to nowhere."""
+    return EventLog(fd=os.open(os.devnull, os.O_WRONLY))
--- /dev/null
+++ b/tests/unit/mesh/test_following.py
@@ -0,0 +1,245 @@
+"""Following a table through the store and through other daemons."""
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+
+from cassiasail._internal.coordination.mesh.following import (
+    FollowTimes,
+    PeerOrder,
+    TableFollower,
+)
+from cassiasail._internal.coordination.mesh.shared_tables import (
+    ConditionalWrite,
+    HistoryGone,
+    StoreFailed,
+    WriteConflict,
+    WriteDone,
+)
+from cassiasail._internal.protocol import table_sync
+from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
+from cassiasail._internal.state.table_mirror import (
+    StoredRow,
+    TableDelta,
+    TableMirror,
+)
+from cassiasail._internal.transport.http1.pool import Address, ConnectionPool
+from cassiasail._internal.transport.http1.server import ConnectionLimits, HttpServer
+from tests.lib.events import silent_events
+
+TIMES = FollowTimes(wait=0.2, max_age=0.5)
+FAILED = StoreFailed(reason="down", may_have_happened=False)
+
+
+class FakeStore:
+    """A table in memory; ``down`` and ``stale`` make its answers fail or lag."""
+
+    def __init__(self) -> None:
+        self.row_by_key: dict[str, StoredRow] = {}
+        self.version = 0
+        self.forgotten = 0
+        self.down = False
+        self.stale: TableDelta | None = None
+        self.calls = 0
+
+    def put(self, key: str, value: bytes) -> None:
+        self.version += 1
+        self.row_by_key[key] = StoredRow(key=key, value=value, version=self.version)
+
+    def forget_history(self) -> None:
+        self.forgotten = self.version
+
+    async def read(self, table: str) -> TableDelta | StoreFailed:
+        self.calls += 1
+        if self.down:
+            return FAILED
+        if self.stale is not None:
+            return self.stale
+        rows = tuple(self.row_by_key.values())
+        return TableDelta(rows=rows, version=self.version, whole=True)
+
+    async def changes(
+        self, table: str, *, after: int, wait: float
+    ) -> TableDelta | HistoryGone | StoreFailed:
+        self.calls += 1
+        ends = asyncio.get_running_loop().time() + wait
+        while True:
+            if self.down:
+                return FAILED
+            if after < self.forgotten:
+                return HistoryGone()
+            rows = tuple(row for row in self.row_by_key.values() if row.version > after)
+            if rows or asyncio.get_running_loop().time() >= ends:
+                return TableDelta(rows=rows, version=self.version)
+            await asyncio.sleep(0.005)
+
+    async def write(
+        self, table: str, writes: Sequence[ConditionalWrite]
+    ) -> WriteDone | WriteConflict | StoreFailed:
+        raise NotImplementedError
+
+
+class Node:
+    """One daemon that follows the table and serves it on."""
+
+    def __init__(self, store: FakeStore, order: PeerOrder) -> None:
+        self.value_by_key: dict[str, bytes] = {}
+        self.seen: list[bytes] = []
+        self.order = order
+        self.follower = TableFollower(
+            tables=store,
+            table="t",
+            pool=ConnectionPool(connect_timeout=0.2, silence=1, idle=10),
+            times=TIMES,
+            peers=lambda: self.order,
+            changed=self._changed,
+            events=silent_events(),
+            random=Random(1),
+        )
+        self.server = HttpServer(handler=self._serve, limits=ConnectionLimits)
+        self.task = asyncio.create_task(self.follower.run())
+
+    def _changed(self, row: StoredRow) -> None:
+        self.seen.append(row.value)
+        self.value_by_key[row.key] = row.value
+
+    async def _serve(self, request: HttpRequest) -> HttpResponse:
+        query = table_sync.decode_query(request)
+        assert query is not None
+        return table_sync.encode_reply(await self.follower.serve(query))
+
+    async def listen(self) -> Address:
+        await self.server.start("127.0.0.1", 0)
+        assert self.server._server is not None
+        return Address("127.0.0.1", self.server._server.sockets[0].getsockname()[1])
+
+    async def until(self, value: bytes, seconds: float = 2.0) -> None:
+        async with asyncio.timeout(seconds):
+            while self.value_by_key.get("k") != value:
+                await asyncio.sleep(0.005)
+
+
+ALONE = PeerOrder(before=(), behind=())
+
+
+def test_a_follower_of_a_relay_makes_no_call_to_the_store() -> None:
+    """Guards against store calls that grow with the fleet."""
+
+    async def main() -> None:
+        store, idle = FakeStore(), FakeStore()
+        store.put("k", b"1")
+        relay = Node(store, ALONE)
+        address = await relay.listen()
+        follower = Node(idle, PeerOrder(before=(address,), behind=()))
+        await relay.until(b"1")
+        await follower.until(b"1")
+        store.put("k", b"2")
+        await follower.until(b"2")
+        assert idle.calls <= 1
+
+    asyncio.run(main())
+
+
+def test_a_follower_leaves_a_relay_that_lost_the_store() -> None:
+    """Guards against a data centre that falls behind together with its relay."""
+
+    async def main() -> None:
+        store, cut = FakeStore(), FakeStore()
+        store.put("k", b"1")
+        cut.put("k", b"1")
+        relay = Node(cut, ALONE)
+        address = await relay.listen()
+        await relay.until(b"1")
+        follower = Node(store, PeerOrder(before=(address,), behind=()))
+        await follower.until(b"1")
+        cut.down = True
+        store.put("k", b"2")
+        await follower.until(b"2", 1.0)
+
+    asyncio.run(main())
+
+
+def test_a_daemon_that_the_store_turns_away_asks_another() -> None:
+    """Guards against a daemon left behind by a store that refuses it alone."""
+
+    async def main() -> None:
+        store, refusing = FakeStore(), FakeStore()
+        store.put("k", b"1")
+        refusing.down = True
+        other = Node(store, ALONE)
+        address = await other.listen()
+        await other.until(b"1")
+        refused = Node(refusing, PeerOrder(before=(), behind=(address,)))
+        await refused.until(b"1")
+
+    asyncio.run(main())
+
+
+def test_lost_history_is_read_anew() -> None:
+    """Guards against changes that are missed where the store forgot them."""
+
+    async def main() -> None:
+        store = FakeStore()
+        store.put("k", b"1")
+        node = Node(store, ALONE)
+        await node.until(b"1")
+        store.put("k", b"2")
+        store.put("k", b"3")
+        store.forget_history()
+        await node.until(b"3")
+
+    asyncio.run(main())
+
+
+def test_an_answer_from_the_past_changes_nothing() -> None:
+    """Guards against a daemon that goes back to an older row."""
+
+    async def main() -> None:
+        store = FakeStore()
+        store.put("k", b"old")
+        past = await store.read("t")
+        assert isinstance(past, TableDelta)
+        store.put("k", b"new")
+        node = Node(store, ALONE)
+        await node.until(b"new")
+        store.stale = past
+        store.forget_history()
+        store.version += 1
+        store.forgotten = store.version
+        await asyncio.sleep(0.3)
+        assert node.value_by_key["k"] == b"new"
+        assert node.seen == [b"new"]
+
+    asyncio.run(main())
+
+
+def test_deleted_rows_reach_a_late_follower() -> None:
+    """Guards against a row that a follower keeps although it is gone."""
+    mirror = TableMirror(changed=lambda row: None)
+    first = StoredRow(key="a", value=b"1", version=1)
+    mirror.apply(TableDelta(rows=(first,), version=1, whole=True))
+    gone = StoredRow(key="a", value=b"", version=2, deleted=True)
+    mirror.apply(TableDelta(rows=(gone,), version=2))
+    assert mirror.since(1).rows == (gone,)
+    assert mirror.since(0) == TableDelta(rows=(), version=2, whole=True)
+
+
+def test_a_whole_table_drops_what_it_does_not_name() -> None:
+    """Guards against rows that outlive a full read."""
+    seen: list[StoredRow] = []
+    mirror = TableMirror(changed=seen.append)
+    row = StoredRow(key="a", value=b"1", version=1)
+    mirror.apply(TableDelta(rows=(row,), version=1, whole=True))
+    mirror.apply(TableDelta(rows=(), version=5, whole=True))
+    assert seen[-1].deleted
+    assert not mirror.apply(TableDelta(rows=(row,), version=4))
+
+
+def test_tables_travel_whole_and_malformed_ones_are_refused() -> None:
+    """Guards against rows that are lost or made up between daemons."""
+    row = StoredRow(key="a", value=b"\x00\xff", version=7)
+    delta = TableDelta(rows=(row,), version=9, whole=True)
+    reply = table_sync.SyncReply(delta=delta, age=float("inf"))
+    assert table_sync.decode_reply(table_sync.encode_reply(reply)) == reply
+    assert table_sync.decode_reply(HttpResponse(status=200, body=b"x")) is None
+    assert table_sync.decode_reply(HttpResponse(status=404)) is None
--- a/tests/unit/mesh/test_registration.py
+++ b/tests/unit/mesh/test_registration.py
@@ -38,6 +38,7 @@
         born=REPORT.born,
         slots=9,
         state=state,
+        link_mbps=1000,
     )
 
 
