--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -197,7 +197,7 @@
         return table_sync.decode_reply(result) or _Failed(reason="malformed")
 
     async def _poll_store(self) -> SyncReply | _Failed:
-        if self._read_all or not self._mirror.version:
+        if self._read_all:
             result = await self._tables.read(self._table)
         else:
             # A store that confirmed nothing lately may have gone silent on this
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -213,6 +213,21 @@
     asyncio.run(main())
 
 
+def test_an_empty_store_is_read_once() -> None:
+    """Guards against a busy loop of reads while the store is still empty.
+
+    Seen on ettpu-forecast quiet-1: 1,003 of 1,426 calls were reads of empty tables.
+    """
+
+    async def main() -> None:
+        store = FakeStore()
+        Node(store, ALONE)
+        await asyncio.sleep(0.5)
+        assert store.calls <= 4
+
+    asyncio.run(main())
+
+
 def test_deleted_rows_reach_a_late_follower() -> None:
     """Guards against a row that a follower keeps although it is gone."""
     mirror = TableMirror(changed=lambda row: None)
