Wait until the daemon knows both targets in the retry test

The test sent its requests before the record of the second target had arrived; with one known target the second try goes to the same one, as it should.

--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -63,6 +63,10 @@
     return -1 if result.sent else 0
 
 
+def body_of(result: HttpResponse | ExchangeFailed) -> bytes:
+    return result.body if isinstance(result, HttpResponse) else b""
+
+
 def run(main: Callable[[], Awaitable[None]]) -> None:
     asyncio.run(main())  # type: ignore[arg-type]
 
@@ -251,8 +255,9 @@
             async def fail(request: web.Request) -> web.StreamResponse:
                 return one.stamped(request, "no", status=500)
 
-            while not two.seen:
-                await one.get("/one/warm")
+            async with asyncio.timeout(5):
+                while body_of(await one.get("/one/warm")) != b"vm-2 /one/warm":
+                    await asyncio.sleep(0.02)
             one.answer = fail
             for number in range(10):
                 status = status_of(await one.get(f"/one/{number}"))
