Serve metrics of the sidecar

Cause: an on-call engineer has only logs and metrics; the sidecar had none. Change: counters by outcome and reason, latency histograms by service, gauges for the age of beliefs, slots, hosts and retry budget, on the port of the deploy file.

--- a/src/cassiasail/_internal/coordination/mesh/budget.py
+++ b/src/cassiasail/_internal/coordination/mesh/budget.py
@@ -42,6 +42,10 @@
         self._requests_by_service: dict[ServiceName, _Window] = {}
         self._repeats_by_service: dict[ServiceName, _Window] = {}
 
+    def configure(self, *, ratio: float, slack: float, window: float) -> None:
+        """Take new limits into force; what was sent before counts on."""
+        self._ratio, self._slack, self._window = ratio, slack, window
+
     def requested(self, service: ServiceName) -> None:
         """Record the first sending of a request to ``service``."""
         window = self._requests_by_service.setdefault(service, _Window())
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from ... import metrics
 from ...events import EventLog
 from ...ids import ServiceName
 from ...state.calls import (
@@ -230,7 +231,10 @@
             view.in_flight -= 1
         if reply.load is not None:
             self._fleet.reported(view, reply.load)
-        progress.tries.append(f"{view.record.host}:{reply.reason.value}")
+        metrics.MESH_TRIES.labels(
+            progress.service, reply.outcome.value, reply.reason.value
+        ).inc()
+        progress.tries.append(f"{view.record.host}:{_said(reply)}")
         return reply
 
     def _judge(
@@ -304,15 +308,23 @@
         answer: FinalAnswer,
     ) -> None:
         served = isinstance(answer, TargetAnswer) and answer.status < 500
-        if served and len(progress.tries) == 1:
-            return
-        outcome = type(answer).__name__
         status, reason = 0, ""
         if isinstance(answer, TargetAnswer):
             status = answer.status
-        elif isinstance(answer, NotRun | Unknown):
-            reason = answer.reason.value
+            outcome = "answered" if served else "target_error"
+        elif isinstance(answer, NotRun):
+            outcome, reason = "not_run", answer.reason.value
+        elif isinstance(answer, Unknown):
+            outcome, reason = "may_have_run", answer.reason.value
+        else:
+            outcome = "no_route"
         now = self._loop.time()
+        metrics.MESH_REQUESTS.labels(progress.service, outcome, reason).inc()
+        metrics.MESH_REQUEST_SECONDS.labels(progress.service).observe(
+            now - call.arrived
+        )
+        if served and len(progress.tries) == 1:
+            return
         self._events.write(
             "request_served" if served else "request_failed",
             attempt=call.attempt,
@@ -330,3 +342,10 @@
                 self._budget.left(progress.service, len(self._fleet.view_by_host)), 1
             ),
         )
+
+
+def _said(reply: HostReply) -> str:
+    """Return what a daemon said, for the log: a status or a reason."""
+    if reply.answer is not None and reply.outcome is HostOutcome.ANSWERED:
+        return str(reply.answer.status)
+    return reply.reason.value
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from ... import metrics
 from ...events import EventLog
 from ...ids import TargetId
 from ...protocol.http1 import HttpRequest, HttpResponse
@@ -248,6 +249,7 @@
             max_idle=None if hosted.safe else UNSAFE_IDLE_SECONDS,
         )
         ran = self._loop.time() - started
+        metrics.MESH_TRY_SECONDS.labels(hosted.service).observe(ran)
         reply = self._reply_of(result, ran)
         failed = reply.outcome is not HostOutcome.ANSWERED or (
             reply.answer is not None and reply.answer.status >= 500
--- a/src/cassiasail/_internal/events.py
+++ b/src/cassiasail/_internal/events.py
@@ -11,6 +11,8 @@
 import time
 from typing import Any
 
+from . import metrics
+
 # A burst of lines of one event, and how many a second are written after it.
 BURST = 50
 LINES_PER_SECOND = 10.0
@@ -31,6 +33,7 @@
         now = time.monotonic()
         if not self._within_rate(event, now):
             self._left_out_by_event[event] = self._left_out_by_event.get(event, 0) + 1
+            metrics.LOG_LINES_LEFT_OUT.labels("rate").inc()
             return
         line: dict[str, Any] = {"t": round(now, 3), "event": event, **fields}
         left_out = self._left_out_by_event.pop(event, 0)
@@ -56,5 +59,6 @@
             # Nobody reads the log, or not fast enough; requests go first. The count
             # appears in the next line that is taken.
             self._unread += 1
+            metrics.LOG_LINES_LEFT_OUT.labels("full_pipe").inc()
         else:
             self._unread = 0
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -125,3 +125,61 @@
     ["place"],
     registry=REGISTRY,
 )
+
+_LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 25)
+MESH_REQUESTS = Counter(
+    "cassiasail_mesh_requests",
+    "Requests of the clients of this VM, by service, final answer and reason.",
+    ["service", "outcome", "reason"],
+    registry=REGISTRY,
+)
+MESH_REQUEST_SECONDS = Histogram(
+    "cassiasail_mesh_request_seconds",
+    "Time from the first byte of a request to its final answer.",
+    ["service"],
+    registry=REGISTRY,
+    buckets=_LATENCY_BUCKETS,
+)
+MESH_TRIES = Counter(
+    "cassiasail_mesh_tries",
+    "Daemons asked to run a request, by service, outcome and reason.",
+    ["service", "outcome", "reason"],
+    registry=REGISTRY,
+)
+MESH_TRY_SECONDS = Histogram(
+    "cassiasail_mesh_try_seconds",
+    "Time that the target beside this daemon took for a request.",
+    ["service"],
+    registry=REGISTRY,
+    buckets=_LATENCY_BUCKETS,
+)
+MESH_TARGET_SLOTS = Gauge(
+    "cassiasail_mesh_target_slots",
+    "Slots of the target beside this daemon, and requests that hold or await one.",
+    ["use"],
+    registry=REGISTRY,
+)
+MESH_TABLE_AGE = Gauge(
+    "cassiasail_mesh_table_age_seconds",
+    "Time since the store confirmed what this daemon knows, by table.",
+    ["table"],
+    registry=REGISTRY,
+)
+MESH_HOSTS = Gauge(
+    "cassiasail_mesh_hosts",
+    "VMs known, by the state of their target.",
+    ["state"],
+    registry=REGISTRY,
+)
+MESH_RETRY_BUDGET = Gauge(
+    "cassiasail_mesh_retry_budget",
+    "Repeats that this daemon may send now, by service.",
+    ["service"],
+    registry=REGISTRY,
+)
+LOG_LINES_LEFT_OUT = Counter(
+    "cassiasail_log_lines_left_out",
+    "Log lines not written, by the reason: the rate of their event, or a full pipe.",
+    ["reason"],
+    registry=REGISTRY,
+)
--- a/src/cassiasail/_internal/sidecar/program.py
+++ b/src/cassiasail/_internal/sidecar/program.py
@@ -1,5 +1,6 @@
 """The program of the sidecar: settings, signals, exit codes."""
 
+import argparse
 import asyncio
 import os
 import signal
@@ -26,7 +27,7 @@
     return decode_settings(document)
 
 
-async def run(settings: SidecarSettings) -> None:
+async def run(settings: SidecarSettings, metrics_port: int | None) -> None:
     """Run one daemon until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
     events = EventLog()
@@ -42,17 +43,28 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
-    await runtime.start()
+    await runtime.start(metrics_port)
     await stopping.wait()
     await runtime.stop()
 
 
 def main() -> None:
     """Run the sidecar with the settings that the platform gives."""
+    parser = argparse.ArgumentParser(prog="cassiasail.sidecar", description=__doc__)
+    parser.add_argument(
+        "--metrics-port", type=int, help="port that serves the metrics of this daemon"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    options = parser.parse_args()
     try:
         settings = load_settings()
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    asyncio.run(run(settings))
+    if options.check:
+        print("the settings are valid")
+        return
+    asyncio.run(run(settings, options.metrics_port))
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -1,13 +1,17 @@
 """Parts of one sidecar daemon and how they are connected."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
 from ...exceptions import SettingsError
 from ...platform import configuration, readiness, reports, requests
 from ...platform.settings import SidecarSettings
 from ...platform.table_store import TableStore
+from .. import metrics
 from ..coordination.mesh import peers
 from ..coordination.mesh.balancing import Fleet, HostView
 from ..coordination.mesh.budget import RetryBudget
@@ -29,6 +33,7 @@
 
 # The table in which the daemons publish their records.
 HOSTS_TABLE = "hosts"
+METRICS_PATH = b"/metrics"
 
 # Opening a connection takes one round trip, 24 ms between regions; the rest is for a
 # lost packet or a busy machine.
@@ -92,14 +97,15 @@
             region=settings.region,
             random=self._random,
         )
+        self._budget = RetryBudget(
+            ratio=settings.retry_ratio,
+            slack=settings.retry_slack,
+            window=settings.retry_window,
+        )
         self._entry = Entry(
             config=lambda: self._config,
             fleet=self._fleet,
-            budget=RetryBudget(
-                ratio=settings.retry_ratio,
-                slack=settings.retry_slack,
-                window=settings.retry_window,
-            ),
+            budget=self._budget,
             ask=self._ask,
             events=events,
             random=self._random,
@@ -176,6 +182,9 @@
         self._reports_server = HttpServer(
             handler=self._serve_report, limits=lambda: peer_limits
         )
+        self._metrics_server = HttpServer(
+            handler=self._serve_metrics, limits=lambda: peer_limits
+        )
         self._readiness_server = HttpServer(
             handler=self._serve_readiness, limits=lambda: peer_limits
         )
@@ -189,9 +198,11 @@
             and self._hosts_follower.read_once.is_set()
         )
 
-    async def start(self) -> None:
+    async def start(self, metrics_port: int | None) -> None:
         """Open the listeners and follow the store."""
         settings = self._settings
+        if metrics_port is not None:
+            await self._metrics_server.start(settings.address, metrics_port)
         for server, address in (
             (self._readiness_server, settings.readiness),
             (self._reports_server, settings.reports),
@@ -247,6 +258,11 @@
         if settings.clients != self._settings.clients:
             raise SettingsError(["the listening addresses changed; restart the daemon"])
         self._settings = settings
+        self._budget.configure(
+            ratio=settings.retry_ratio,
+            slack=settings.retry_slack,
+            window=settings.retry_window,
+        )
         self._events.write("reloaded", service=settings.service)
 
     def _in_flight(self) -> int:
@@ -283,6 +299,31 @@
     async def _serve_readiness(self, request: HttpRequest) -> HttpResponse:
         return readiness.answer_readiness(request, ready=self.ready)
 
+    async def _serve_metrics(self, request: HttpRequest) -> HttpResponse:
+        if request.target.partition(b"?")[0] != METRICS_PATH:
+            return HttpResponse(status=404)
+        self._set_gauges()
+        content_type = (b"content-type", CONTENT_TYPE_LATEST.encode())
+        body = generate_latest(metrics.REGISTRY)
+        return HttpResponse(status=200, headers=(content_type,), body=body)
+
+    def _set_gauges(self) -> None:
+        if self._config is not None:
+            metrics.VERSION.set(self._config.version)
+            for service in self._config.service_by_name:
+                left = self._budget.left(service, len(self._fleet.view_by_host))
+                metrics.MESH_RETRY_BUDGET.labels(service).set(left)
+        load = self._host.load()
+        for use in ("running", "waiting", "slots"):
+            metrics.MESH_TARGET_SLOTS.labels(use).set(getattr(load, use))
+        for table, follower in self._follower_by_table.items():
+            metrics.MESH_TABLE_AGE.labels(table).set(follower.age)
+        states = Counter(
+            view.record.state for view in self._fleet.view_by_host.values()
+        )
+        for state in TargetState:
+            metrics.MESH_HOSTS.labels(state.value).set(states[state])
+
     # The target beside this daemon.
 
     async def _serve_report(self, request: HttpRequest) -> HttpResponse:
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -71,7 +71,6 @@
     TARGET_DOWN = "target_down"
     TARGET_FULL = "target_full"
     MISDIRECTED = "misdirected"
-    POISONOUS = "poisonous"
     TARGET_RESET = "target_reset"
     TARGET_BROKE_OFF = "target_broke_off"
     TARGET_SPOILED = "target_spoiled"
--- a/src/cassiasail/platform/settings.py
+++ b/src/cassiasail/platform/settings.py
@@ -17,8 +17,9 @@
 class SidecarSettings:
     """What the platform tells a sidecar; times in seconds.
 
-    ``clients`` is where clients and the target of this VM send requests,
-    ``peers`` where other daemons do, ``reports`` where the target reports.
+    ``address`` is the IPv4 address of this VM. ``clients`` is where clients and the
+    target of this VM send requests, ``peers`` where other daemons do, ``reports``
+    where the target reports.
     ``drain`` is the time after which an acknowledged leaving target gets nothing
     more, ``grace`` the time between SIGTERM and SIGKILL, ``config_apply`` the time
     within which a configuration must be in force. ``link_mbps`` is the rate of the
@@ -26,6 +27,7 @@
     """
 
     host: str
+    address: str
     data_centre: DataCentre
     region: Region
     service: ServiceName
@@ -67,6 +69,7 @@
     listen, bounds = "network/listenAddrs", "terms/bounds"
     values = {
         "host": read(fields.text, "self/node"),
+        "address": read(fields.text, "self/bindIp"),
         "data_centre": read(_data_centre, "self/zone"),
         "region": read(_region, "self/region"),
         "service": read(_service, "self/service"),
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
+from .._internal import metrics
 from .._internal.coordination.mesh.shared_tables import (
     ConditionalWrite,
     HistoryGone,
@@ -34,7 +35,6 @@
     def __init__(self, *, address: Address, pool: ConnectionPool) -> None:
         self._address = address
         self._pool = pool
-        self.calls = 0
 
     async def read(self, table: str) -> TableDelta | StoreFailed:
         """Return all rows of ``table``; pages are joined as of the oldest one."""
@@ -107,8 +107,14 @@
     async def _call(
         self, request: HttpRequest, timeout: float
     ) -> HttpResponse | ExchangeFailed:
-        self.calls += 1
-        return await self._pool.exchange(self._address, request, timeout=timeout)
+        result = await self._pool.exchange(self._address, request, timeout=timeout)
+        if isinstance(result, ExchangeFailed):
+            outcome = result.reason.value
+        else:
+            outcome = str(result.status)
+        operation = request.target.partition(b"?")[0].rpartition(b"/")[2].decode()
+        metrics.STORE_REQUESTS.labels(operation, outcome).inc()
+        return result
 
     def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
         return ((b"host", str(self._address).encode()),)
--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -42,7 +42,7 @@
             await sidecar.start_daemon(directory)
         for sidecar in sidecars:
             await sidecar.until_ready()
-            await until_answered(sidecar, "/one/warm")
+            await sidecar.until_known(len(sidecars))
         yield store, sidecars
     finally:
         for sidecar in sidecars:
@@ -63,10 +63,6 @@
     return -1 if result.sent else 0
 
 
-def body_of(result: HttpResponse | ExchangeFailed) -> bytes:
-    return result.body if isinstance(result, HttpResponse) else b""
-
-
 def run(main: Callable[[], Awaitable[None]]) -> None:
     asyncio.run(main())  # type: ignore[arg-type]
 
@@ -255,9 +251,6 @@
             async def fail(request: web.Request) -> web.StreamResponse:
                 return one.stamped(request, "no", status=500)
 
-            async with asyncio.timeout(5):
-                while body_of(await one.get("/one/warm")) != b"vm-2 /one/warm":
-                    await asyncio.sleep(0.02)
             one.answer = fail
             for number in range(10):
                 status = status_of(await one.get(f"/one/{number}"))
@@ -290,6 +283,25 @@
     run(main)
 
 
+def test_requests_and_beliefs_are_counted(tmp_path: Path) -> None:
+    """Guards against a failed request that no counter shows."""
+
+    async def main() -> None:
+        async with mesh(tmp_path, "one") as (_, (one,)):
+
+            async def fail(request: web.Request) -> web.StreamResponse:
+                return one.stamped(request, "no", status=500)
+
+            one.answer = fail
+            await one.get("/orders/1", method="POST")
+            text = await one.metrics()
+            assert 'mesh_requests_total{outcome="target_error",reason=""' in text
+            assert 'mesh_tries_total{outcome="answered"' in text
+            assert "cassiasail_version 1.0" in text
+
+    run(main)
+
+
 def test_the_timeout_of_a_route_ends_a_request(tmp_path: Path) -> None:
     """Guards against requests that are held beyond the time of their route."""
 
--- a/tests/lib/platform_stand_in.py
+++ b/tests/lib/platform_stand_in.py
@@ -162,6 +162,7 @@
             use: Address(HOST, free_port())
             for use in ("inbound", "outbound", "readiness", "admin", "target")
         }
+        self.metrics_port = free_port()
         self.seen: list[tuple[str, str]] = []
         self.answer: Answer = self._plain_answer
         self.process: asyncio.subprocess.Process | None = None
@@ -186,6 +187,7 @@
             sys.executable,
             "-m",
             "cassiasail.sidecar",
+            f"--metrics-port={self.metrics_port}",
             env=environment,
             stdout=asyncio.subprocess.DEVNULL,
         )
@@ -233,6 +235,23 @@
                     return
                 await asyncio.sleep(0.05)
 
+    async def metrics(self) -> str:
+        """Return the text of the metrics of the daemon."""
+        request = HttpRequest(
+            method=b"GET", target=b"/metrics", headers=((b"host", b"h"),)
+        )
+        address = Address(HOST, self.metrics_port)
+        result = await self.pool.exchange(address, request, timeout=2)
+        assert isinstance(result, HttpResponse)
+        return result.body.decode()
+
+    async def until_known(self, targets: int, seconds: float = 10) -> None:
+        """Wait until the daemon knows this number of ready targets."""
+        wanted = f'cassiasail_mesh_hosts{{state="ready"}} {targets}.0'
+        async with asyncio.timeout(seconds):
+            while wanted not in await self.metrics():
+                await asyncio.sleep(0.05)
+
     async def report_once(self, **changes: Any) -> HttpResponse | ExchangeFailed:
         """Send one report of the target; ``changes`` replace fields of its status."""
         self.sequence += 1
@@ -301,6 +320,7 @@
         return f"""
 [self]
 node = "{self.name}"
+bindIp = "{HOST}"
 zone = "dc"
 region = "region"
 appAddr = "{address["target"]}"
