Ask all sources of a table at once when the one in use fails

Change: a follower whose source fails asks relays, store and other VMs together for 0.5 s; a relay answers as soon as its knowledge is too old; the margin of a waiting store call is 0.3 s instead of 0.5 s.

--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -32,6 +32,9 @@
 GATHER_SECONDS = 0.25
 # A peer answers from memory; later than its wait by this much, it is not well.
 PEER_MARGIN_SECONDS = 0.3
+# How long all sources may take together to answer without a wait; twice the round trip
+# between regions and the time of a slow store fit in.
+RECOVER_SECONDS = 0.5
 # VMs of the own data centre that are asked before the store.
 RELAYS = 2
 # Bounds how long a follower is kept waiting, whatever it asks for.
@@ -115,6 +118,7 @@
         self._source: Address | None = None
         self._lost_since: float | None = None
         self._read_all = True
+        self._had_rows = False
         self._stopped = False
         self.read_once = asyncio.Event()
 
@@ -132,20 +136,65 @@
         """Follow the table until cancelled."""
         while True:
             source = await self._next_source()
-            reply = await self._poll(source)
-            if isinstance(reply, _Failed):
-                self._source_failed(source, reply.reason)
-                continue
-            if reply.age > self._times.max_age:
-                self._source_failed(source, "too_old")
-                continue
-            if not self._mirror.apply(reply.delta):
-                self._source_failed(source, "behind")
-                continue
-            self._source_worked(source, reply)
-            if reply.delta.rows:
-                self._tell_followers()
-                await asyncio.sleep(GATHER_SECONDS)
+            reply = await self._poll(source, self._wait_at(source))
+            if self._taken(source, reply):
+                if self._had_rows:
+                    await asyncio.sleep(GATHER_SECONDS)
+            else:
+                await self._recover()
+
+    async def _recover(self) -> None:
+        """Ask all sources at once when the one in use fails.
+
+        One after the other, silent sources would take longer together than a
+        configuration may take.
+        """
+        now = self._loop.time()
+        order = self._peers()
+        sources: tuple[Address | None, ...] = order.before[:RELAYS]
+        if self.age > self._times.max_age / 2:
+            sources = (*sources, None, *order.behind)
+        asked = [each for each in sources if self._pauses.until(each) <= now]
+        if not asked:
+            return
+        tasks = [asyncio.create_task(self._poll(each, 0.0)) for each in asked]
+        await asyncio.wait(tasks, timeout=RECOVER_SECONDS)
+        for source, task in zip(asked, tasks, strict=True):
+            if not task.done():
+                task.cancel()
+                self._source_failed(source, "silent")
+            elif self._taken(source, task.result()):
+                for other in tasks:
+                    other.cancel()
+                return
+
+    def _wait_at(self, source: Address | None) -> float:
+        """Return how long ``source`` may wait for changes.
+
+        A store that confirmed nothing lately may have gone silent on the connection
+        in use; an answer without a wait tells soonest.
+        """
+        if source is None and self.age > self._times.max_age:
+            return 0.0
+        return self._times.wait
+
+    def _taken(self, source: Address | None, reply: SyncReply | _Failed) -> bool:
+        """Take over ``reply``; false if it is of no use."""
+        self._had_rows = False
+        if isinstance(reply, _Failed):
+            self._source_failed(source, reply.reason)
+            return False
+        if reply.age > self._times.max_age:
+            self._source_failed(source, "too_old")
+            return False
+        if not self._mirror.apply(reply.delta):
+            self._source_failed(source, "behind")
+            return False
+        self._source_worked(source, reply)
+        self._had_rows = bool(reply.delta.rows)
+        if self._had_rows:
+            self._tell_followers()
+        return True
 
     async def serve(self, query: SyncQuery) -> SyncReply:
         """Answer a follower as soon as there is news, or after its wait."""
@@ -155,8 +204,10 @@
                 nothing = TableDelta(rows=(), version=0)
                 return SyncReply(delta=nothing, age=float("inf"))
             delta = self._mirror.since(query.after)
-            left = ends - self._loop.time()
-            if delta.rows or left <= 0 or self.age > self._times.max_age:
+            # A follower learns at once that this knowledge has become too old.
+            left = min(ends, self._confirmed_at + self._times.max_age)
+            left -= self._loop.time()
+            if delta.rows or left <= 0:
                 return SyncReply(delta=delta, age=self.age)
             news = self._news
             try:
@@ -181,12 +232,10 @@
             soonest = min(self._pauses.until(source) for source in sources)
             await asyncio.sleep(max(0.01, soonest - now))
 
-    async def _poll(self, source: Address | None) -> SyncReply | _Failed:
+    async def _poll(self, source: Address | None, wait: float) -> SyncReply | _Failed:
         if source is None:
-            return await self._poll_store()
-        query = SyncQuery(
-            table=self._table, after=self._mirror.version, wait=self._times.wait
-        )
+            return await self._poll_store(wait)
+        query = SyncQuery(table=self._table, after=self._mirror.version, wait=wait)
         result = await self._pool.exchange(
             source,
             table_sync.encode_query(query),
@@ -196,23 +245,20 @@
             return _Failed(reason=result.reason.value)
         return table_sync.decode_reply(result) or _Failed(reason="malformed")
 
-    async def _poll_store(self) -> SyncReply | _Failed:
-        if self._read_all:
-            result = await self._tables.read(self._table)
-        else:
-            # A store that confirmed nothing lately may have gone silent on this
-            # connection; an answer without a wait tells soonest.
-            wait = self._times.wait if self.age <= self._times.max_age else 0.0
-            changes = await self._tables.changes(
+    async def _poll_store(self, wait: float) -> SyncReply | _Failed:
+        result: TableDelta | HistoryGone | StoreFailed
+        if not self._read_all:
+            result = await self._tables.changes(
                 self._table, after=self._mirror.version, wait=wait
             )
-            if isinstance(changes, HistoryGone):
+            if isinstance(result, HistoryGone):
                 self._events.write("history_gone", table=self._table)
                 self._read_all = True
-                return await self._poll_store()
-            result = changes
+        if self._read_all:
+            result = await self._tables.read(self._table)
         if isinstance(result, StoreFailed):
             return _Failed(reason=result.reason)
+        assert isinstance(result, TableDelta)
         self._read_all = False
         return SyncReply(delta=result, age=0.0)
 
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -24,7 +24,7 @@
 # for the call, which is then made again.
 CALL_SECONDS = 1.0
 # Time for the answer of a call that waits for changes, beyond its wait.
-WAIT_MARGIN_SECONDS = 0.5
+WAIT_MARGIN_SECONDS = 0.3
 # The rows of the system lie in one part, so that a transaction covers any of them.
 _PART = ""
 
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -39,6 +39,7 @@
         self.version = 0
         self.forgotten = 0
         self.down = False
+        self.silent = False
         self.stale: TableDelta | None = None
         self.calls = 0
 
@@ -51,6 +52,9 @@
 
     async def read(self, table: str) -> TableDelta | StoreFailed:
         self.calls += 1
+        if self.silent:
+            await asyncio.sleep(1)
+            return FAILED
         if self.down:
             return FAILED
         if self.stale is not None:
@@ -175,6 +179,34 @@
     asyncio.run(main())
 
 
+def test_silent_sources_are_asked_together() -> None:
+    """Guards against time-outs of silent sources that add up.
+
+    Seen on censo-viv-grown trouble-1: the store and the relay were silent one after
+    the other, and a configuration came 4 s late.
+    """
+
+    async def main() -> None:
+        store, silent = FakeStore(), FakeStore()
+        silent.silent = True
+        store.put("k", b"1")
+
+        async def never(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(30)
+
+        server = await asyncio.start_server(never, "127.0.0.1", 0)
+        dead = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        other = Node(store, ALONE)
+        address = await other.listen()
+        await other.until(b"1")
+        node = Node(silent, PeerOrder(before=(dead, dead), behind=(dead, address)))
+        await node.until(b"1", 1.3)
+
+    asyncio.run(main())
+
+
 def test_lost_history_is_read_anew() -> None:
     """Guards against changes that are missed where the store forgot them."""
 
