--- /dev/null
+++ b/tests/unit/mesh/test_entry.py
@@ -0,0 +1,288 @@
+"""The way of one request over several targets, with replies made up by the test."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from cassiasail._internal.coordination.mesh.balancing import (
+    LOAD_SECONDS,
+    Fleet,
+    HostView,
+)
+from cassiasail._internal.coordination.mesh.budget import RetryBudget
+from cassiasail._internal.coordination.mesh.entry import (
+    Entry,
+    FinalAnswer,
+    NoRoute,
+    NotRun,
+    Unknown,
+)
+from cassiasail._internal.ids import (
+    DataCentre,
+    Region,
+    ServiceName,
+    TargetId,
+    Version,
+)
+from cassiasail._internal.state.calls import (
+    HostedCall,
+    HostLoad,
+    HostOutcome,
+    HostReason,
+    HostReply,
+    MeshCall,
+    TargetAnswer,
+)
+from cassiasail._internal.state.hosts import HostRecord, TargetState
+from cassiasail._internal.state.mesh_config import (
+    ClientLimits,
+    MeshConfig,
+    MeshRoute,
+    MeshService,
+    Repeatable,
+    WeightedService,
+)
+from devtools.virtual_loop import VirtualLoop
+from tests.lib.events import silent_events
+
+SERVICE = ServiceName("one")
+ROUTE = MeshRoute(
+    name="r",
+    host="h",
+    prefix="/a/",
+    repeatable=Repeatable.SAFE,
+    timeout=2.0,
+    objective=1.0,
+    rank=1,
+    attempts=2,
+    split=(WeightedService(service=SERVICE, weight=1),),
+)
+UNSAFE = replace(ROUTE, repeatable=Repeatable.UNSAFE)
+ANSWERED = HostReply(
+    outcome=HostOutcome.ANSWERED,
+    answer=TargetAnswer(status=200, reason=b"", headers=(), body=b""),
+)
+BROKEN = replace(
+    ANSWERED, answer=TargetAnswer(status=500, reason=b"", headers=(), body=b"")
+)
+LEAVING = HostReply(outcome=HostOutcome.REFUSED, reason=HostReason.LEAVING)
+UNREACHABLE = replace(LEAVING, reason=HostReason.PEER_UNREACHABLE)
+SHED = HostReply(outcome=HostOutcome.SHED, reason=HostReason.TARGET_FULL)
+RESET = HostReply(outcome=HostOutcome.FAILED, reason=HostReason.TARGET_RESET)
+TIMED_OUT = replace(RESET, reason=HostReason.TIMED_OUT)
+
+
+def busy(waiting: int = 20) -> HostReply:
+    load = HostLoad(running=4, waiting=waiting, slots=4, seconds=0.5, failing=0)
+    return HostReply(outcome=HostOutcome.REFUSED, reason=HostReason.BUSY, load=load)
+
+
+def record(host: str, data_centre: str = "dc", region: str = "r") -> HostRecord:
+    return HostRecord(
+        host=host,
+        address=f"10.0.0.{len(host)}:80",
+        data_centre=DataCentre(data_centre),
+        region=Region(region),
+        service=SERVICE,
+        target=TargetId(f"i-{host}"),
+        born=1,
+        slots=4,
+        state=TargetState.READY,
+        link_mbps=100,
+    )
+
+
+def fleet_of(*records: HostRecord) -> Fleet:
+    fleet = Fleet(data_centre=DataCentre("dc"), region=Region("r"), random=Random(1))
+    for each in records:
+        fleet.update(each)
+    return fleet
+
+
+Script = Callable[[str, int], HostReply]
+
+
+class Trial:
+    """Runs requests through an entry whose hosts reply by ``script``."""
+
+    def __init__(self, script: Script, *, route: MeshRoute = ROUTE, hosts: int = 3):
+        self.asked: list[str] = []
+        self.hosted: list[HostedCall] = []
+        self.route = route
+        self.script = script
+        self.records = [record("v" * number) for number in range(1, hosts + 1)]
+
+    async def _ask(self, view: HostView, hosted: HostedCall) -> HostReply:
+        self.asked.append(view.record.host)
+        self.hosted.append(hosted)
+        return self.script(view.record.host, len(self.asked))
+
+    def run(self, *, path: bytes = b"/a/x", slack: float = 100) -> FinalAnswer:
+        async def main() -> FinalAnswer:
+            config = MeshConfig(
+                version=Version(1),
+                routes=(self.route,),
+                service_by_name={
+                    SERVICE: MeshService(
+                        name=SERVICE, health_path="/", max_connections=9
+                    )
+                },
+                limits=ClientLimits(
+                    header_bytes=1, body_bytes=1, header_seconds=1, idle_seconds=1
+                ),
+            )
+            entry = Entry(
+                config=lambda: config,
+                fleet=fleet_of(*self.records),
+                budget=RetryBudget(ratio=0.2, slack=slack, window=10),
+                ask=self._ask,
+                events=silent_events(),
+                random=Random(1),
+            )
+            call = MeshCall(
+                attempt="id",
+                method=b"GET",
+                host="h",
+                target=path,
+                headers=(),
+                body=b"",
+                caller=SERVICE,
+                arrived=asyncio.get_running_loop().time(),
+                time_left=1.5,
+            )
+            return await entry.serve(call)
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(main())
+
+
+def test_a_refusal_leads_to_the_next_target() -> None:
+    """Guards against a request refused while another target has room."""
+    trial = Trial(lambda host, count: LEAVING if count == 1 else ANSWERED)
+    assert trial.run() == ANSWERED.answer
+    assert len(set(trial.asked)) == 2
+
+
+@pytest.mark.parametrize("reply", [LEAVING, UNREACHABLE])
+def test_refused_by_all_is_not_run(reply: HostReply) -> None:
+    """Guards against a 502 where it is certain that nothing ran."""
+    trial = Trial(lambda host, count: reply, route=UNSAFE)
+    answer = trial.run()
+    assert isinstance(answer, NotRun)
+    assert len(set(trial.asked)) == 3
+
+
+def test_busy_targets_are_asked_twice_and_then_refuse() -> None:
+    """Guards against a request that is held until its end and then refused."""
+    trial = Trial(lambda host, count: busy())
+    answer = trial.run()
+    assert isinstance(answer, NotRun)
+    assert answer.retry_after > 0
+    assert [each.late for each in trial.hosted] == [False] * 3 + [True] * 3
+
+
+def test_an_unsafe_request_that_may_have_run_is_not_repeated() -> None:
+    """Guards against an order that runs twice."""
+    for reply in (RESET, BROKEN, TIMED_OUT):
+        trial = Trial(lambda host, count, reply=reply: reply, route=UNSAFE)
+        answer = trial.run()
+        assert not isinstance(answer, NotRun)
+        assert len(trial.asked) == 1
+
+
+def test_an_unsafe_request_that_was_shed_goes_to_another() -> None:
+    """Guards against an order that fails although no target ran it."""
+    trial = Trial(lambda host, count: SHED if count == 1 else ANSWERED, route=UNSAFE)
+    assert trial.run() == ANSWERED.answer
+
+
+def test_a_shed_request_that_ran_before_is_no_refusal() -> None:
+    """Guards against 503 for a request whose first try may have run."""
+    trial = Trial(lambda host, count: RESET if count == 1 else SHED)
+    assert trial.run() == Unknown(reason=HostReason.TARGET_RESET)
+
+
+def test_a_safe_request_is_repeated_within_its_attempts() -> None:
+    """Guards against more targets than the route allows."""
+    trial = Trial(lambda host, count: BROKEN)
+    assert trial.run() == BROKEN.answer
+    assert len(trial.asked) == 2
+
+
+def test_no_budget_no_repeat() -> None:
+    """Guards against retries that multiply the load of a failing service."""
+    trial = Trial(lambda host, count: BROKEN, hosts=3)
+    assert trial.run(slack=0) == BROKEN.answer
+    assert len(trial.asked) == 1
+
+
+def test_a_service_without_targets_is_refused_soon() -> None:
+    """Guards against requests that are held for targets that do not come."""
+    trial = Trial(lambda host, count: ANSWERED, hosts=0)
+    assert isinstance(trial.run(), NotRun)
+
+
+def test_an_unknown_path_has_no_route() -> None:
+    """Guards against a request that goes anywhere."""
+    assert isinstance(Trial(lambda h, c: ANSWERED).run(path=b"/b/"), NoRoute)
+
+
+def choose(fleet: Fleet, prepare: Callable[[Fleet], None]) -> str:
+    async def main() -> str:
+        prepare(fleet)
+        choice = fleet.choose(SERVICE, route="r", objective=1.0, excluded=())
+        assert choice is not None
+        return choice.view.record.host
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main())
+
+
+def test_a_near_target_is_preferred_until_it_would_be_late() -> None:
+    """Guards against bytes over dear links while near targets have room."""
+    near, far = record("near"), record("farther", "dc2", "r2")
+    load = HostLoad(running=4, waiting=1, slots=4, seconds=0.1, failing=0)
+    full = replace(load, waiting=80)
+
+    def report(load: HostLoad) -> Callable[[Fleet], None]:
+        return lambda fleet: fleet.reported(fleet.view_by_host["near"], load)
+
+    assert choose(fleet_of(near, far), report(load)) == "near"
+    assert choose(fleet_of(near, far), report(full)) == "farther"
+
+
+def test_a_failing_target_is_avoided_until_its_report_is_old() -> None:
+    """Guards against a target that fails fast and draws all requests."""
+    one, other = record("one"), record("other")
+    failing = HostLoad(running=0, waiting=0, slots=4, seconds=0.01, failing=0.9)
+
+    def prepare(fleet: Fleet) -> None:
+        fleet.reported(fleet.view_by_host["one"], failing)
+
+    assert choose(fleet_of(one, other), prepare) == "other"
+    assert LOAD_SECONDS > 0
+
+
+def test_a_suspected_vm_is_used_only_if_there_is_no_other() -> None:
+    """Guards against requests at a VM that does not answer, and against none."""
+    one, other = record("one"), record("other")
+
+    def suspect(fleet: Fleet) -> None:
+        fleet.suspect(fleet.view_by_host["one"])
+
+    assert choose(fleet_of(one, other), suspect) == "other"
+    assert choose(fleet_of(one), suspect) == "one"
+
+
+def test_the_widest_link_relays_for_its_data_centre() -> None:
+    """Guards against a configuration that goes through the narrowest link."""
+    narrow, wide = record("a"), replace(record("bb"), link_mbps=1000)
+    other = record("ccc", "dc2")
+    fleet = fleet_of(narrow, wide, other)
+    order = fleet.relay_order("a")
+    assert [address.host for address in order.before] == ["10.0.0.2"]
+    assert [address.host for address in order.behind] == ["10.0.0.3"]
+    assert fleet.relay_order("bb").before == ()
