Confirm the first report after a restart by a health check or a newer report

The store was down while a target left and its daemon was restarted; a report that had been delayed made the new daemon take the leaving target for ready. Change: in the first 15 s of a daemon's life (not at the very first start of the system) a report counts once the target's health check or a newer report confirms it.

--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -3,6 +3,10 @@
 Reports may arrive late, also from a former life of the target. A report counts only
 if it is newer than all that is known: by the start of the target, then by its
 sequence number. A target that is leaving or gone does not come back in the same life.
+
+A daemon that has just started may have acknowledged in its former life that the target
+leaves, and the store may not know. Until late reports can no longer arrive, the first
+one of a target is not believed alone: its health check or a newer report confirms it.
 """
 
 from collections.abc import Callable
@@ -40,18 +44,29 @@
     TAKEN = "taken"
     STALE = "stale"
     OTHER_ADDRESS = "other_address"
+    UNCONFIRMED = "unconfirmed"
 
 
 Life = tuple[TargetId, int]
 
 
 class TargetRegistration:
-    """The current target of one VM; ``changed`` is called after each change."""
+    """The current target of one VM; ``changed`` is called after each change.
+
+    ``cautious`` tells whether reports meant for a former life of the daemon may still
+    arrive.
+    """
 
     def __init__(
-        self, *, address: str, changed: Callable[[TargetReport | None], None]
+        self,
+        *,
+        address: str,
+        changed: Callable[[TargetReport | None], None],
+        cautious: Callable[[], bool],
     ) -> None:
         self._address = address
+        self._cautious = cautious
+        self._unconfirmed: TargetReport | None = None
         self._changed = changed
         self._ended: dict[Life, None] = {}
         self._newest_born = 0
@@ -78,23 +93,46 @@
         same_life = current is not None and life == (current.target, current.born)
         if same_life and current is not None and report.sequence <= current.sequence:
             return ReportVerdict.STALE
+        if self._needs_confirmation(report):
+            self._unconfirmed = report
+            return ReportVerdict.UNCONFIRMED
+        self._take(report)
+        return ReportVerdict.TAKEN
+
+    def confirm(self, report: TargetReport) -> None:
+        """Believe ``report``, whose target says that it is not leaving."""
+        if self._unconfirmed == report:
+            self._take(report)
+
+    def _needs_confirmation(self, report: TargetReport) -> bool:
+        if report.leaving or self.current is not None or not self._cautious():
+            return False
+        before = self._unconfirmed
+        newer = (
+            before is not None
+            and (before.target, before.born) == (report.target, report.born)
+            and before.sequence < report.sequence
+        )
+        return not newer
+
+    def _take(self, report: TargetReport) -> None:
         self._newest_born = report.born
+        self._unconfirmed = None
         if report.leaving:
-            self._end(life)
+            self._end((report.target, report.born))
         self.current = report
         self._silent = False
         self._changed(report)
-        return ReportVerdict.TAKEN
 
     def remove(self, target: TargetId, born: int | None) -> ReportVerdict:
         """Take the notice that ``target`` ends; it takes no new requests."""
-        current = self.current
+        current = self.current or self._unconfirmed
         if current is None or current.target != target:
             return ReportVerdict.STALE
         if born is not None and born != current.born:
             return ReportVerdict.STALE
         self._end((current.target, current.born))
-        self.current = None
+        self.current = self._unconfirmed = None
         self._changed(None)
         return ReportVerdict.TAKEN
 
@@ -114,6 +152,7 @@
             return
         life = (record.target, record.born)
         self._end(life)
+        self._unconfirmed = None
         current = self.current
         if current is not None and (current.target, current.born) == life:
             self.current = None
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from random import Random
+from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ...exceptions import SettingsError
-from ...platform import configuration, readiness, reports, requests
+from ...platform import configuration, health, readiness, reports, requests
 from ...platform.settings import SidecarSettings
 from ...platform.table_store import TableStore
 from .. import metrics
@@ -20,7 +21,11 @@
 from ..coordination.mesh.hosting import Host
 from ..coordination.mesh.probing import SuspectProber
 from ..coordination.mesh.publishing import RecordPublisher
-from ..coordination.mesh.registration import TargetRegistration, TargetReport
+from ..coordination.mesh.registration import (
+    ReportVerdict,
+    TargetRegistration,
+    TargetReport,
+)
 from ..events import EventLog
 from ..ids import TargetId
 from ..protocol import peer_calls, table_sync
@@ -29,6 +34,7 @@
 from ..state.hosts import HostRecord, TargetState, decode_record, encode_record
 from ..state.mesh_config import ConfigRejected, MeshConfig
 from ..state.table_mirror import StoredRow
+from ..transport.http1.client import ExchangeFailed
 from ..transport.http1.pool import ConnectionPool
 from ..transport.http1.server import ConnectionLimits, HttpServer
 
@@ -59,6 +65,10 @@
 # Targets tell by themselves that they leave; the table brings new ones.
 HOSTS_WAIT_SECONDS = 3.0
 HOSTS_AGE_SECONDS = 4.0
+# A report may arrive seconds late; a daemon that runs for longer knows its target.
+OLD_REPORTS_SECONDS = 15.0
+# A health check waits for a slot like any request.
+HEALTH_SECONDS = 1.0
 # A target that misses this many reports in a row is taken for dead.
 MISSED_REPORTS = 4
 # The daemon exits this long before it would be killed, even with requests in flight.
@@ -81,7 +91,8 @@
         self._limits = ConnectionLimits()
         self._stopping = False
         self._refusing = False
-        self._last_report = self._loop.time()
+        self._started_at = self._last_report = self._loop.time()
+        self._background_tasks: set[asyncio.Task[None]] = set()
         # The target that was reported last, also after it is gone.
         self._named: TargetReport | None = None
         self._published: tuple[TargetId, int, TargetState] | None = None
@@ -91,7 +102,9 @@
             pool=self._target_pool, codec=requests.TARGET_CODEC, events=events
         )
         self._registration = TargetRegistration(
-            address=str(settings.target), changed=self._target_changed
+            address=str(settings.target),
+            changed=self._target_changed,
+            cautious=self._may_get_old_reports,
         )
         self._fleet = Fleet(
             data_centre=settings.data_centre,
@@ -349,12 +362,44 @@
             verdict = self._registration.report(report)
             if report.address == str(self._settings.target):
                 self._last_report = self._loop.time()
-        if verdict.value != "taken":
+        if isinstance(report, TargetReport) and verdict is ReportVerdict.UNCONFIRMED:
+            self._background(self._ask_target(report))
+        elif verdict is not ReportVerdict.TAKEN:
             self._events.write(
                 "report_ignored", target=report.target, verdict=verdict.value
             )
         return reports.ACKNOWLEDGED
 
+    def _may_get_old_reports(self) -> bool:
+        uptime = self._loop.time() - self._started_at
+        return not self._settings.first_start and uptime < OLD_REPORTS_SECONDS
+
+    async def _ask_target(self, report: TargetReport) -> None:
+        """Take the target of ``report`` into service if it is not leaving."""
+        config = self._config
+        service = config.service_by_name.get(report.service) if config else None
+        if service is None:
+            return
+        result = await self._target_pool.exchange(
+            self._settings.target,
+            health.encode_question(service.health_path, report.address),
+            timeout=HEALTH_SECONDS,
+        )
+        if isinstance(result, ExchangeFailed):
+            said = result.reason.value
+        else:
+            answer = health.decode_health(result)
+            said = "fit" if answer.fit else "unfit"
+            if answer.fit and answer.target == report.target:
+                self._registration.confirm(report)
+        self._events.write("target_asked", target=report.target, said=said)
+
+    def _background(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        # The loop itself keeps only a weak reference.
+        self._background_tasks.add(task)
+        task.add_done_callback(self._background_tasks.discard)
+
     def _target_changed(self, report: TargetReport | None) -> None:
         self._host.set_target(report)
         state = self._registration.state
--- a/src/cassiasail/platform/settings.py
+++ b/src/cassiasail/platform/settings.py
@@ -23,7 +23,7 @@
     ``drain`` is the time after which an acknowledged leaving target gets nothing
     more, ``grace`` the time between SIGTERM and SIGKILL, ``config_apply`` the time
     within which a configuration must be in force. ``link_mbps`` is the rate of the
-    link of this VM in Mbit/s.
+    link of this VM in Mbit/s; ``first_start`` if the whole system has never run.
     """
 
     host: str
@@ -45,6 +45,7 @@
     retry_slack: float
     retry_window: float
     link_mbps: float
+    first_start: bool
 
 
 def decode_settings(document: bytes) -> SidecarSettings:
@@ -86,6 +87,7 @@
         "retry_ratio": read(fields.number, f"{bounds}/retryBudgetRatio"),
         "retry_slack": read(fields.number, f"{bounds}/budgetSlack"),
         "retry_window": read(fields.number, f"{bounds}/budgetWindowS"),
+        "first_start": read(_flag, "self/bootstrap"),
         "link_mbps": read(fields.number, "self/limits/linkMbps"),
     }
     if faults:
@@ -107,3 +109,7 @@
 
 def _service(document: Any, name: str) -> ServiceName:
     return ServiceName(fields.text(document, name))
+
+
+def _flag(document: Any, name: str) -> bool:
+    return document.get(name) is True
--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -137,6 +137,31 @@
     run(main)
 
 
+def test_a_late_report_after_a_restart_revives_no_target(tmp_path: Path) -> None:
+    """Guards against work for a leaving target that only a killed daemon knew of."""
+
+    async def main() -> None:
+        async with mesh(tmp_path, "one", "one") as (store, (one, two)):
+            store.down = True
+            one.state = "draining"
+            await one.report_once()
+            one.stop_reports()
+            one.signal(signal.SIGKILL)
+            assert one.process is not None
+            await one.process.wait()
+            one.seen.clear()
+            store.down = False
+            await one.start_daemon(tmp_path)
+            await one.until_ready()
+            await one.report_once(state="ready")
+            for number in range(10):
+                await two.get(f"/one/{number}")
+                await asyncio.sleep(0.05)
+            assert one.seen == []
+
+    run(main)
+
+
 def test_a_shutdown_cuts_no_request(tmp_path: Path) -> None:
     """Guards against requests that are cut around SIGTERM."""
 
--- a/tests/lib/platform_stand_in.py
+++ b/tests/lib/platform_stand_in.py
@@ -196,9 +196,13 @@
         assert self.process is not None
         self.process.send_signal(number)
 
-    async def stop(self) -> None:
+    def stop_reports(self) -> None:
+        """Have the target report nothing more by itself."""
         if self._reports is not None:
             self._reports.cancel()
+
+    async def stop(self) -> None:
+        self.stop_reports()
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
@@ -296,6 +300,10 @@
             await asyncio.sleep(0.2)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        if request.path == "/healthz":
+            status = 200 if self.state == "ready" else 503
+            named = {"X-Cassiasail-Instance-Id": self.target_id}
+            return web.Response(status=status, headers=named)
         attempt = request.headers.get("X-Cassiasail-Attempt-Id", "")
         self.seen.append((attempt, request.path))
         return await self.answer(request)
--- a/tests/unit/mesh/test_registration.py
+++ b/tests/unit/mesh/test_registration.py
@@ -23,8 +23,10 @@
 )
 
 
-def registration() -> TargetRegistration:
-    return TargetRegistration(address=ADDRESS, changed=lambda report: None)
+def registration(*, cautious: bool = False) -> TargetRegistration:
+    return TargetRegistration(
+        address=ADDRESS, changed=lambda report: None, cautious=lambda: cautious
+    )
 
 
 def record_of(state: TargetState) -> HostRecord:
@@ -132,3 +134,35 @@
     known.report(REPORT)
     known.recall(record_of(TargetState.LEAVING))
     assert known.current is None
+
+
+def test_a_daemon_that_just_started_does_not_believe_a_single_report() -> None:
+    """Guards against a late report that undoes a leaving acknowledged before a restart.
+
+    Seen in a hunt on ettpu-forecast (trouble-3, seed 1007227029150: DRAIN, twice): the
+    store was down, so only the former life of the daemon knew.
+    """
+    known = registration(cautious=True)
+    assert known.report(REPORT) is ReportVerdict.UNCONFIRMED
+    assert known.state is TargetState.ABSENT
+    assert known.report(REPORT) is ReportVerdict.UNCONFIRMED
+
+
+def test_a_newer_report_confirms_a_target() -> None:
+    """Guards against a target whose health check fails falsely."""
+    known = registration(cautious=True)
+    known.report(REPORT)
+    assert known.report(replace(REPORT, sequence=6)) is ReportVerdict.TAKEN
+
+
+def test_a_health_check_confirms_only_the_report_it_was_made_for() -> None:
+    """Guards against a check that confirms a target that is leaving by now."""
+    known = registration(cautious=True)
+    known.report(REPORT)
+    known.remove(REPORT.target, None)
+    known.confirm(REPORT)
+    assert known.state is TargetState.ABSENT
+    again = registration(cautious=True)
+    again.report(REPORT)
+    again.confirm(REPORT)
+    assert again.state is TargetState.READY
