--- a/src/cassiasail/_internal/cli/main.py
+++ b/src/cassiasail/_internal/cli/main.py
@@ -30,6 +30,7 @@
     "status": "Show the store, the daemons and the versions of the fleet.",
     "explain": "Show how calls of a customer to a service are treated.",
     "daemon": "Show the status of one daemon.",
+    "trace": "Show from logs of sidecars why requests failed.",
 }
 
 _OPTION = re.compile(r"--?[A-Za-z]")
