Give a reused address to the newer record; relays that are gone are passed over

Change: of two records with one address the one written later counts; a VM never follows itself; VMs that take no connection are suspected and probed, and suspected ones are no relays.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -63,6 +63,7 @@
     """One VM as this daemon knows it; times are loop times in seconds."""
 
     record: HostRecord
+    version: int
     address: Address
     distance: Distance
     load: HostLoad | None = None
@@ -113,12 +114,15 @@
 
     data_centre: DataCentre
     region: Region
+    own_address: str
     random: Random
     view_by_host: dict[HostId, HostView] = field(default_factory=dict)
     _seconds_by_route: dict[str, _RouteSeconds] = field(default_factory=dict)
 
-    def update(self, record: HostRecord) -> None:
-        """Take a new or changed record."""
+    def update(self, record: HostRecord, version: int) -> None:
+        """Take a new or changed record, stored as ``version``."""
+        if not self._owns_address(record, version):
+            return
         known = self.view_by_host.get(record.host)
         try:
             address = parse_address(record.address)
@@ -129,14 +133,33 @@
                 known.load, known.slowness = None, 1.0
             if known.record != record:
                 known.suspected, known.avoided_until = False, 0.0
-            known.record = record
+            known.record, known.version = record, version
             return
         if known is not None:
             known.removed = True
         self.view_by_host[record.host] = HostView(
-            record=record, address=address, distance=self._distance_to(record)
+            record=record,
+            version=version,
+            address=address,
+            distance=self._distance_to(record),
         )
 
+    def _owns_address(self, record: HostRecord, version: int) -> bool:
+        """Drop the VM that had the address of ``record`` before; false if it is newer.
+
+        The address of a VM that is gone may be given to another one, while the record
+        of the former stays in the store.
+        """
+        for view in tuple(self.view_by_host.values()):
+            if view.record.host == record.host:
+                continue
+            if view.record.address != record.address:
+                continue
+            if view.version > version:
+                return False
+            self.remove(view.record.host)
+        return True
+
     def remove(self, host: HostId) -> None:
         """Forget a VM."""
         view = self.view_by_host.pop(host, None)
@@ -157,9 +180,18 @@
         first, because the first ones serve all others. Those before this VM are asked
         first; some of the others only if the store does not answer.
         """
-        views = self.view_by_host.values()
+        views = [
+            view
+            for view in self.view_by_host.values()
+            if view.record.host == own or view.record.address != self.own_address
+        ]
         ordered = sorted(
-            (view for view in views if view.distance is Distance.SAME_DATA_CENTRE),
+            (
+                view
+                for view in views
+                if view.distance is Distance.SAME_DATA_CENTRE
+                and (view.record.host == own or not view.suspected)
+            ),
             key=lambda view: (-view.record.link_mbps, view.record.host),
         )
         names = [view.record.host for view in ordered]
@@ -167,7 +199,7 @@
         far = [
             view.address
             for view in views
-            if view.distance is not Distance.SAME_DATA_CENTRE
+            if view.distance is not Distance.SAME_DATA_CENTRE and not view.suspected
         ]
         others = [view.address for view in ordered[place + 1 :]][:NEAR_SOURCES]
         return PeerOrder(
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -90,7 +90,8 @@
     """Follows one table; ``run`` never ends by itself.
 
     ``changed`` gets each new, changed or deleted row; ``peers`` the present order of
-    peers. With ``starts_after`` the first poll waits until the peers are known.
+    peers; ``unreachable`` is told those that took no connection. With ``starts_after``
+    the first poll waits until the peers are known.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         times: FollowTimes,
         peers: Callable[[], PeerOrder],
         changed: Callable[[StoredRow], None],
+        unreachable: Callable[[Address], None],
         events: EventLog,
         random: Random,
         starts_after: asyncio.Event | None = None,
@@ -112,6 +114,7 @@
         self._pool = pool
         self._times = times
         self._peers = peers
+        self._unreachable = unreachable
         self._events = events
         self._mirror = TableMirror(changed=changed)
         self._loop = asyncio.get_running_loop()
@@ -258,6 +261,8 @@
             timeout=query.wait + PEER_MARGIN_SECONDS,
         )
         if isinstance(result, ExchangeFailed):
+            if not result.sent:
+                self._unreachable(source)
             return _Failed(reason=result.reason.value)
         return table_sync.decode_reply(result) or _Failed(reason="malformed")
 
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -1,6 +1,7 @@
 """Parts of one sidecar daemon and how they are connected."""
 
 import asyncio
+import sys
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -35,7 +36,7 @@
 from ..state.mesh_config import ConfigRejected, MeshConfig
 from ..state.table_mirror import StoredRow
 from ..transport.http1.client import ExchangeFailed
-from ..transport.http1.pool import ConnectionPool
+from ..transport.http1.pool import Address, ConnectionPool
 from ..transport.http1.server import ConnectionLimits, HttpServer
 
 # The table in which the daemons publish their records.
@@ -109,6 +110,7 @@
         self._fleet = Fleet(
             data_centre=settings.data_centre,
             region=settings.region,
+            own_address=str(settings.peers),
             random=self._random,
         )
         self._prober = SuspectProber(
@@ -190,6 +192,7 @@
             times=times,
             peers=lambda: self._fleet.relay_order(self._settings.host),
             changed=changed,
+            unreachable=self._peer_unreachable,
             events=self._events,
             random=self._random,
             starts_after=starts_after,
@@ -321,6 +324,11 @@
             return await self._host.run(hosted)
         return await peers.ask(self._peer_pool, view.address, hosted)
 
+    def _peer_unreachable(self, address: Address) -> None:
+        for view in self._fleet.view_by_host.values():
+            if view.address == address:
+                self._prober.suspect(view, "peer_unreachable")
+
     async def _serve_readiness(self, request: HttpRequest) -> HttpResponse:
         return readiness.answer_readiness(request, ready=self.ready)
 
@@ -442,7 +450,8 @@
             state=state,
             link_mbps=int(settings.link_mbps),
         )
-        self._fleet.update(record)
+        # Newer than all that is stored: this daemon is the only writer of the record.
+        self._fleet.update(record, sys.maxsize)
         self._publisher.want(encode_record(record))
 
     # What the store says.
@@ -484,7 +493,7 @@
             if not row.deleted:
                 self._events.write("record_malformed", host=row.key)
             return
-        self._fleet.update(record)
+        self._fleet.update(record, row.version)
         self._events.write(
             "host_learnt",
             host=row.key,
--- a/tests/unit/mesh/test_entry.py
+++ b/tests/unit/mesh/test_entry.py
@@ -96,9 +96,14 @@
 
 
 def fleet_of(*records: HostRecord) -> Fleet:
-    fleet = Fleet(data_centre=DataCentre("dc"), region=Region("r"), random=Random(1))
-    for each in records:
-        fleet.update(each)
+    fleet = Fleet(
+        data_centre=DataCentre("dc"),
+        region=Region("r"),
+        own_address="10.0.0.99:80",
+        random=Random(1),
+    )
+    for version, each in enumerate(records, 1):
+        fleet.update(each, version)
     return fleet
 
 
@@ -291,8 +296,8 @@
 
     def restart(fleet: Fleet) -> None:
         fleet.view_by_host["one"].suspected = True
-        fleet.update(replace(one, state=TargetState.SUSPENDED))
-        fleet.update(one)
+        fleet.update(replace(one, state=TargetState.SUSPENDED), 8)
+        fleet.update(one, 9)
         fleet.remove("other")
 
     fleet = fleet_of(one, other)
@@ -309,3 +314,25 @@
     assert [address.host for address in order.before] == ["10.0.0.2"]
     assert [address.host for address in order.behind] == ["10.0.0.3"]
     assert fleet.relay_order("bb").before == ()
+
+
+def test_a_reused_address_belongs_to_the_newer_record() -> None:
+    """Guards against a VM that is gone and whose address another VM has.
+
+    Seen in an incident on ettpu-forecast: the first relay of a data centre was gone,
+    its address was that of the last VM, which then followed itself.
+    """
+    gone = record("a")
+    heir = replace(record("zz"), address=gone.address)
+    assert set(fleet_of(gone, heir).view_by_host) == {"zz"}
+    fleet = fleet_of()
+    fleet.update(heir, 9)
+    fleet.update(gone, 3)
+    assert set(fleet.view_by_host) == {"zz"}
+
+
+def test_a_suspected_vm_is_no_relay() -> None:
+    """Guards against a data centre that keeps asking a VM that is gone."""
+    fleet = fleet_of(record("a"), record("bb"), record("ccc"))
+    fleet.view_by_host["a"].suspected = True
+    assert [each.host for each in fleet.relay_order("ccc").before] == ["10.0.0.2"]
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -99,6 +99,7 @@
             times=TIMES,
             peers=lambda: self.order,
             changed=self._changed,
+            unreachable=lambda address: None,
             events=silent_events(),
             random=Random(1),
         )
