Keep the layers: exchanges are described in the protocol layer

Cause: coordination imported the transport layer above it. Change: address, failure and the interface of an exchange stand in protocol; the pool of the transport layer implements it. No behaviour changes.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -12,9 +12,9 @@
 from random import Random
 
 from ...ids import DataCentre, Region, ServiceName
+from ...protocol.exchanges import Address, parse_address
 from ...state.calls import HostLoad
 from ...state.hosts import HostId, HostRecord, TargetState
-from ...transport.http1.pool import Address, parse_address
 from .admission import FIRST_SECONDS, SAMPLE_WEIGHT
 from .following import PeerOrder
 
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -15,10 +15,9 @@
 
 from ...events import EventLog
 from ...protocol import table_sync
+from ...protocol.exchanges import Address, ExchangeFailed, Exchanger
 from ...protocol.table_sync import SyncQuery, SyncReply
 from ...state.table_mirror import StoredRow, TableDelta, TableMirror
-from ...transport.http1.client import ExchangeFailed
-from ...transport.http1.pool import Address, ConnectionPool
 from .shared_tables import HistoryGone, SharedTables, StoreFailed
 
 # Pause before a source that failed is asked again, doubled each time up to the second
@@ -99,7 +98,7 @@
         *,
         tables: SharedTables,
         table: str,
-        pool: ConnectionPool,
+        pool: Exchanger,
         times: FollowTimes,
         peers: Callable[[], PeerOrder],
         changed: Callable[[StoredRow], None],
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -14,6 +14,13 @@
 from ... import metrics
 from ...events import EventLog
 from ...ids import TargetId
+from ...protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    Exchanger,
+    FailureReason,
+    parse_address,
+)
 from ...protocol.http1 import HttpRequest, HttpResponse
 from ...state.calls import (
     HostedCall,
@@ -24,8 +31,6 @@
     MeshCall,
     TargetAnswer,
 )
-from ...transport.http1.client import ExchangeFailed, FailureReason
-from ...transport.http1.pool import Address, ConnectionPool, parse_address
 from .admission import Admission
 from .registration import TargetReport
 
@@ -104,7 +109,7 @@
     """The requests that run on the target beside this daemon."""
 
     def __init__(
-        self, *, pool: ConnectionPool, codec: TargetCodec, events: EventLog
+        self, *, pool: Exchanger, codec: TargetCodec, events: EventLog
     ) -> None:
         self._pool = pool
         self._codec = codec
--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -1,9 +1,8 @@
 """Sends a request to the daemon beside a target and reads what became of it."""
 
 from ...protocol import peer_calls
+from ...protocol.exchanges import Address, ExchangeFailed, Exchanger, FailureReason
 from ...state.calls import HostedCall, HostOutcome, HostReason, HostReply
-from ...transport.http1.client import ExchangeFailed, FailureReason
-from ...transport.http1.pool import Address, ConnectionPool
 
 # The daemon beside the target ends requests itself; its answer needs time to arrive.
 REPLY_MARGIN_SECONDS = 0.15
@@ -14,7 +13,7 @@
 )
 
 
-async def ask(pool: ConnectionPool, address: Address, hosted: HostedCall) -> HostReply:
+async def ask(pool: Exchanger, address: Address, hosted: HostedCall) -> HostReply:
     """Return what the daemon at ``address`` did with ``hosted``.
 
     A connection that is lost is replaced once for an unsafe request, because the
@@ -28,9 +27,7 @@
     return reply if again.reason is HostReason.PEER_UNREACHABLE else again
 
 
-async def _ask_once(
-    pool: ConnectionPool, address: Address, hosted: HostedCall
-) -> HostReply:
+async def _ask_once(pool: Exchanger, address: Address, hosted: HostedCall) -> HostReply:
     result = await pool.exchange(
         address,
         peer_calls.encode_call(hosted),
--- a/src/cassiasail/_internal/coordination/mesh/probing.py
+++ b/src/cassiasail/_internal/coordination/mesh/probing.py
@@ -9,9 +9,8 @@
 
 from ...events import EventLog
 from ...protocol import table_sync
+from ...protocol.exchanges import ExchangeFailed, Exchanger
 from ...protocol.table_sync import SyncQuery
-from ...transport.http1.client import ExchangeFailed
-from ...transport.http1.pool import ConnectionPool
 from .balancing import HostView
 
 # A killed daemon is back within about a second; the pause doubles up to the second
@@ -26,9 +25,7 @@
 class SuspectProber:
     """Probes suspected VMs until they answer or leave the fleet."""
 
-    def __init__(
-        self, *, pool: ConnectionPool, events: EventLog, random: Random
-    ) -> None:
+    def __init__(self, *, pool: Exchanger, events: EventLog, random: Random) -> None:
         self._pool = pool
         self._events = events
         self._random = random
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -30,13 +30,13 @@
 from ..events import EventLog
 from ..ids import TargetId
 from ..protocol import peer_calls, table_sync
+from ..protocol.exchanges import Address, ExchangeFailed
 from ..protocol.http1 import HttpRequest, HttpResponse
 from ..state.calls import HostedCall, HostReply
 from ..state.hosts import HostRecord, TargetState, decode_record, encode_record
 from ..state.mesh_config import ConfigRejected, MeshConfig
 from ..state.table_mirror import StoredRow
-from ..transport.http1.client import ExchangeFailed
-from ..transport.http1.pool import Address, ConnectionPool
+from ..transport.http1.pool import ConnectionPool
 from ..transport.http1.server import ConnectionLimits, HttpServer
 
 # The table in which the daemons publish their records.
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -7,36 +7,16 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
 
 import httptools
 
+from ...protocol.exchanges import ExchangeFailed, FailureReason
 from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_request
 
 # Larger answers would not fit beside others into the memory of a small VM.
 MAX_ANSWER_BYTES = 64 << 20
 
 
-class FailureReason(Enum):
-    """Why an exchange has no answer; the value is the label in logs and metrics."""
-
-    CONNECT_FAILED = "connect_failed"
-    RESET = "reset"
-    CUT_SHORT = "cut_short"
-    MALFORMED = "malformed"
-    TOO_LARGE = "too_large"
-    TIMED_OUT = "timed_out"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ExchangeFailed:
-    """No whole answer; ``sent`` is false only if no byte of the request left."""
-
-    reason: FailureReason
-    sent: bool
-
-
 def _accept_all(response: HttpResponse) -> bool:
     return True
 
--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -2,39 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
+from ...protocol.exchanges import Address, ExchangeFailed
 from ...protocol.http1 import HttpRequest, HttpResponse
-from .client import (
-    ClientConnection,
-    ExchangeFailed,
-    FailureReason,
-    connect,
-)
+from .client import ClientConnection, connect
 
 # A connection is not reused this close to the end of the server's idle time.
 IDLE_MARGIN_SECONDS = 0.5
 
 
-class Address(NamedTuple):
-    """An IPv4 address in digits and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
-def parse_address(text: str) -> Address:
-    """Return the address written as ``10.1.0.8:8300``; ValueError otherwise."""
-    host, colon, port = text.rpartition(":")
-    parts = host.split(".")
-    if not colon or len(parts) != 4 or not all(part.isdigit() for part in parts):
-        raise ValueError(f"{text!r} is not an IPv4 address with a port")
-    return Address(host, int(port))
-
-
 class ConnectionPool:
     """Connections to any number of addresses; the newest idle one is used first.
 
@@ -109,6 +85,3 @@
                 return connection
             connection.close()
         return None
-
-
-__all__ = ["Address", "ConnectionPool", "FailureReason", "parse_address"]
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -14,10 +14,9 @@
     WriteConflict,
     WriteDone,
 )
+from .._internal.protocol.exchanges import Address, ExchangeFailed, Exchanger
 from .._internal.protocol.http1 import HttpRequest, HttpResponse
 from .._internal.state.table_mirror import StoredRow, TableDelta
-from .._internal.transport.http1.client import ExchangeFailed
-from .._internal.transport.http1.pool import Address, ConnectionPool
 from . import fields
 
 # An answer takes a few milliseconds; a store that is slower than this counts as away
@@ -34,7 +33,7 @@
 class TableStore:
     """The platform's store at one address."""
 
-    def __init__(self, *, address: Address, pool: ConnectionPool) -> None:
+    def __init__(self, *, address: Address, pool: Exchanger) -> None:
         self._address = address
         self._pool = pool
 
--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -8,8 +8,8 @@
 
 from aiohttp import web
 
+from cassiasail._internal.protocol.exchanges import ExchangeFailed
 from cassiasail._internal.protocol.http1 import HttpResponse
-from cassiasail._internal.transport.http1.client import ExchangeFailed
 from tests.lib.platform_stand_in import (
     PlatformStore,
     Sidecar,
--- a/tests/lib/platform_stand_in.py
+++ b/tests/lib/platform_stand_in.py
@@ -13,9 +13,9 @@
 
 from aiohttp import web
 
+from cassiasail._internal.protocol.exchanges import Address, ExchangeFailed
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
-from cassiasail._internal.transport.http1.client import ExchangeFailed
-from cassiasail._internal.transport.http1.pool import Address, ConnectionPool
+from cassiasail._internal.transport.http1.pool import ConnectionPool
 
 HOST = "127.0.0.1"
 REPO = Path(__file__).resolve().parents[2]
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -17,13 +17,14 @@
     WriteDone,
 )
 from cassiasail._internal.protocol import table_sync
+from cassiasail._internal.protocol.exchanges import Address
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.table_mirror import (
     StoredRow,
     TableDelta,
     TableMirror,
 )
-from cassiasail._internal.transport.http1.pool import Address, ConnectionPool
+from cassiasail._internal.transport.http1.pool import ConnectionPool
 from cassiasail._internal.transport.http1.server import ConnectionLimits, HttpServer
 from tests.lib.events import silent_events
 
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -8,6 +8,11 @@
 from cassiasail._internal.coordination.mesh.registration import TargetReport
 from cassiasail._internal.ids import ServiceName, TargetId
 from cassiasail._internal.protocol import peer_calls
+from cassiasail._internal.protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    FailureReason,
+)
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.calls import (
     HostedCall,
@@ -16,8 +21,6 @@
     HostReply,
     MeshCall,
 )
-from cassiasail._internal.transport.http1.client import ExchangeFailed, FailureReason
-from cassiasail._internal.transport.http1.pool import Address
 from cassiasail.platform.requests import TARGET_CODEC
 from tests.lib.events import silent_events
 
--- a/tests/unit/mesh/test_http1_client.py
+++ b/tests/unit/mesh/test_http1_client.py
@@ -6,9 +6,13 @@
 
 import pytest
 
+from cassiasail._internal.protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    FailureReason,
+)
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
-from cassiasail._internal.transport.http1.client import ExchangeFailed, FailureReason
-from cassiasail._internal.transport.http1.pool import Address, ConnectionPool
+from cassiasail._internal.transport.http1.pool import ConnectionPool
 
 REQUEST = HttpRequest(method=b"GET", target=b"/", headers=((b"host", b"h"),))
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/tests/unit/platform_adapter/test_table_store.py
+++ b/tests/unit/platform_adapter/test_table_store.py
@@ -14,10 +14,13 @@
     WriteConflict,
     WriteDone,
 )
+from cassiasail._internal.protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    FailureReason,
+)
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.table_mirror import StoredRow, TableDelta
-from cassiasail._internal.transport.http1.client import ExchangeFailed, FailureReason
-from cassiasail._internal.transport.http1.pool import Address
 from cassiasail.platform.table_store import TableStore
 
 ROW = {"table": "t", "part": "", "key": "k", "value": "dg==", "ver": 3}
