--- /dev/null
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -0,0 +1,172 @@
+"""The target beside this daemon: its reports, its health and its published record."""
+
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from ...platform import health, reports
+from ...platform.settings import SidecarSettings
+from ..coordination.mesh.balancing import Fleet
+from ..coordination.mesh.hosting import Host
+from ..coordination.mesh.publishing import RecordPublisher
+from ..coordination.mesh.registration import (
+    ReportVerdict,
+    TargetRegistration,
+    TargetReport,
+)
+from ..events import EventLog
+from ..ids import TargetId
+from ..protocol.exchanges import ExchangeFailed, Exchanger
+from ..protocol.http1 import HttpRequest, HttpResponse
+from ..state.hosts import HostRecord, TargetState, encode_record
+from ..state.mesh_config import MeshConfig
+
+# A report may arrive seconds late; a daemon that runs for longer knows its target.
+OLD_REPORTS_SECONDS = 15.0
+# A health check waits for a slot like any request.
+HEALTH_SECONDS = 1.0
+# A target that misses this many reports in a row is taken for dead.
+MISSED_REPORTS = 4
+
+
+class OwnTarget:
+    """Takes reports of the target, and keeps ``host`` and the own record in line."""
+
+    def __init__(
+        self,
+        *,
+        settings: SidecarSettings,
+        config: Callable[[], MeshConfig | None],
+        host: Host,
+        fleet: Fleet,
+        publisher: RecordPublisher,
+        pool: Exchanger,
+        events: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._config = config
+        self._host = host
+        self._fleet = fleet
+        self._publisher = publisher
+        self._pool = pool
+        self._events = events
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._last_report = self._loop.time()
+        self._background_tasks: set[asyncio.Task[None]] = set()
+        # The target that was reported last, also after it is gone.
+        self._named: TargetReport | None = None
+        self._published: tuple[TargetId, int, TargetState] | None = None
+        self._stopping = False
+        self._registration = TargetRegistration(
+            address=str(settings.target),
+            changed=self._target_changed,
+            cautious=self._may_get_old_reports,
+        )
+
+    async def serve_report(self, request: HttpRequest) -> HttpResponse:
+        """Take a report or the notice of the end of a target."""
+        report = reports.decode_report(request)
+        if isinstance(report, reports.MalformedReport):
+            self._events.write("report_malformed", reason=report.reason)
+            return HttpResponse(status=report.status)
+        if isinstance(report, reports.TargetRemoved):
+            verdict = self._registration.remove(report.target, report.born)
+        else:
+            verdict = self._registration.report(report)
+            if report.address == str(self._settings.target):
+                self._last_report = self._loop.time()
+        if isinstance(report, TargetReport) and verdict is ReportVerdict.UNCONFIRMED:
+            self._background(self._ask_target(report))
+        elif verdict is not ReportVerdict.TAKEN:
+            self._events.write(
+                "report_ignored", target=report.target, verdict=verdict.value
+            )
+        return reports.ACKNOWLEDGED
+
+    def recall(self, record: HostRecord) -> None:
+        """Take over what a former life of this daemon has published."""
+        self._registration.recall(record)
+
+    def suspend(self) -> None:
+        """Tell the others not to use the target while this daemon is away."""
+        self._stopping = True
+        if self._registration.state is TargetState.READY:
+            self._publish(TargetState.SUSPENDED)
+
+    async def watch(self) -> None:
+        """Take a target that stopped reporting out of service, until cancelled."""
+        interval = self._settings.report_interval
+        while True:
+            await asyncio.sleep(interval)
+            silent = self._loop.time() - self._last_report
+            known = self._registration.current
+            if known is None or known.leaving:
+                continue
+            if silent > MISSED_REPORTS * interval:
+                self._events.write(
+                    "target_silent", target=known.target, silent_ms=int(silent * 1000)
+                )
+                self._registration.lose()
+
+    def _may_get_old_reports(self) -> bool:
+        uptime = self._loop.time() - self._started_at
+        return not self._settings.first_start and uptime < OLD_REPORTS_SECONDS
+
+    async def _ask_target(self, report: TargetReport) -> None:
+        """Take the target of ``report`` into service if it is not leaving."""
+        config = self._config()
+        service = config.service_by_name.get(report.service) if config else None
+        if service is None:
+            return
+        result = await self._pool.exchange(
+            self._settings.target,
+            health.encode_question(service.health_path, report.address),
+            timeout=HEALTH_SECONDS,
+        )
+        if isinstance(result, ExchangeFailed):
+            said = result.reason.value
+        else:
+            answer = health.decode_health(result)
+            said = "fit" if answer.fit else "unfit"
+            if answer.fit and answer.target == report.target:
+                self._registration.confirm(report)
+        self._events.write("target_asked", target=report.target, said=said)
+
+    def _background(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        # The loop itself keeps only a weak reference.
+        self._background_tasks.add(task)
+        task.add_done_callback(self._background_tasks.discard)
+
+    def _target_changed(self, report: TargetReport | None) -> None:
+        self._host.set_target(report)
+        state = self._registration.state
+        named = report if report is not None else self._named
+        if named is None or (named.target, named.born, state) == self._published:
+            return
+        self._named = named
+        self._published = (named.target, named.born, state)
+        self._events.write("target_state", target=named.target, state=state.value)
+        if not self._stopping:
+            self._publish(state)
+
+    def _publish(self, state: TargetState) -> None:
+        settings, named = self._settings, self._named
+        if named is None:
+            return
+        record = HostRecord(
+            host=settings.host,
+            address=str(settings.peers),
+            data_centre=settings.data_centre,
+            region=settings.region,
+            service=named.service,
+            target=named.target,
+            born=named.born,
+            slots=named.slots,
+            state=state,
+            link_mbps=int(settings.link_mbps),
+        )
+        # Newer than all that is stored: this daemon is the only writer of the record.
+        self._fleet.update(record, sys.maxsize)
+        self._publisher.want(encode_record(record))
--- a/src/cassiasail/_internal/state/mesh_config.py
+++ b/src/cassiasail/_internal/state/mesh_config.py
@@ -59,12 +59,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientLimits:
-    """What a client may send and how long it may take; times in seconds."""
+    """What a client may send and how long it may take; times in seconds.
 
-    header_bytes: int
-    body_bytes: int
-    header_seconds: float
-    idle_seconds: float
+    The defaults hold for other daemons, and for clients until a configuration is known.
+    """
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 64 << 20
+    header_seconds: float = 10.0
+    idle_seconds: float = 30.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -15,6 +15,7 @@
 import httptools
 
 from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_response
+from ...state.mesh_config import ClientLimits
 
 logger = logging.getLogger(__name__)
 
@@ -30,16 +31,6 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConnectionLimits:
-    """What a client may send and how long it may take; times in seconds."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 64 << 20
-    header_seconds: float = 10.0
-    idle_seconds: float = 30.0
-
-
 @dataclass(slots=True, kw_only=True)
 class _Exchange:
     request: HttpRequest
@@ -67,9 +58,7 @@
     ``handler`` returns the answer, or None to end the connection without one.
     """
 
-    def __init__(
-        self, *, handler: Handler, limits: Callable[[], ConnectionLimits]
-    ) -> None:
+    def __init__(self, *, handler: Handler, limits: Callable[[], ClientLimits]) -> None:
         self.handler = handler
         self.limits = limits
         self.draining = False
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -19,13 +19,14 @@
 from cassiasail._internal.protocol import table_sync
 from cassiasail._internal.protocol.exchanges import Address
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
+from cassiasail._internal.state.mesh_config import ClientLimits
 from cassiasail._internal.state.table_mirror import (
     StoredRow,
     TableDelta,
     TableMirror,
 )
 from cassiasail._internal.transport.http1.pool import ConnectionPool
-from cassiasail._internal.transport.http1.server import ConnectionLimits, HttpServer
+from cassiasail._internal.transport.http1.server import HttpServer
 from tests.lib.events import silent_events
 
 TIMES = FollowTimes(wait=0.2, max_age=0.5)
@@ -104,7 +105,7 @@
             events=silent_events(),
             random=Random(1),
         )
-        self.server = HttpServer(handler=self._serve, limits=ConnectionLimits)
+        self.server = HttpServer(handler=self._serve, limits=ClientLimits)
         self.task = asyncio.create_task(self.follower.run())
 
     def _changed(self, row: StoredRow) -> None:
--- a/tests/unit/mesh/test_http1_server.py
+++ b/tests/unit/mesh/test_http1_server.py
@@ -6,9 +6,10 @@
 import pytest
 
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
-from cassiasail._internal.transport.http1.server import ConnectionLimits, HttpServer
+from cassiasail._internal.state.mesh_config import ClientLimits
+from cassiasail._internal.transport.http1.server import HttpServer
 
-LIMITS = ConnectionLimits(
+LIMITS = ClientLimits(
     header_bytes=1000, body_bytes=2000, header_seconds=0.2, idle_seconds=0.4
 )
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
