--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -44,7 +44,7 @@
 PEER_SILENCE_SECONDS = 1.2
 # Below the idle time at which the other daemon closes the connection.
 PEER_IDLE_SECONDS = 20.0
-# The target is on the same VM; a full queue of new connections is retried by the caller.
+# The target is on the same VM; only a full queue of new connections takes longer.
 TARGET_CONNECT_SECONDS = 0.5
 TARGET_SILENCE_SECONDS = 1.0
 # Targets say themselves how long they keep an idle connection; this bounds the others.
