Take changed settings into force without a signal

Cause: the platform may change the settings file without SIGHUP; the daemon kept the old settings until its restart. Change: the file is looked at every 2 s. Result: functional tests with and without the signal, and with a faulty file.

--- a/src/cassiasail/_internal/sidecar/program.py
+++ b/src/cassiasail/_internal/sidecar/program.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from ...exceptions import SettingsError
@@ -13,15 +14,22 @@
 from .runtime import SidecarRuntime
 
 EXIT_SETTINGS = 1
+# How often the settings file is looked at; the platform may change it without a signal.
+SETTINGS_CHECK_SECONDS = 2.0
 
 
-def load_settings() -> SidecarSettings:
-    """Return the settings of the file that the environment names."""
+def settings_path() -> Path:
+    """Return the path of the settings file that the environment names."""
     path = os.environ.get(PATH_VARIABLE)
     if path is None:
         raise SettingsError([f"set {PATH_VARIABLE} to the path of the settings file"])
+    return Path(path)
+
+
+def load_settings() -> SidecarSettings:
+    """Return the settings of the file that the environment names."""
     try:
-        document = Path(path).read_bytes()
+        document = settings_path().read_bytes()
     except OSError as error:
         raise SettingsError([f"cannot read the settings: {error}"]) from error
     return decode_settings(document)
@@ -44,10 +52,33 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
     await runtime.start(metrics_port)
+    watch = asyncio.create_task(_watch_settings(reload))
     await stopping.wait()
+    watch.cancel()
     await runtime.stop()
 
 
+async def _watch_settings(changed: Callable[[], None]) -> None:
+    """Call ``changed`` after each change of the settings file, until cancelled."""
+    known = _modified()
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK_SECONDS)
+        now = _modified()
+        if now != known:
+            known = now
+            changed()
+
+
+def _modified() -> tuple[int, int] | None:
+    """Return time and size of the settings file, None while it is away."""
+    try:
+        status = settings_path().stat()
+    except OSError:
+        # The file is being replaced; the next look finds the new one.
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
 def main() -> None:
     """Run the sidecar with the settings that the platform gives."""
     parser = argparse.ArgumentParser(prog="cassiasail.sidecar", description=__doc__)
--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
 from aiohttp import web
 
 from cassiasail._internal.protocol.exchanges import ExchangeFailed
@@ -329,6 +330,44 @@
     run(main)
 
 
+@pytest.mark.parametrize("signalled", [True, False])
+def test_changed_settings_take_effect(tmp_path: Path, signalled: bool) -> None:
+    """Guards against settings that wait for a restart, with and without a signal."""
+
+    async def main() -> None:
+        async with mesh(tmp_path, "one") as (_, (one,)):
+            one.retry_slack = 62000
+            one.write_settings(tmp_path)
+            if signalled:
+                one.signal(signal.SIGHUP)
+            async with asyncio.timeout(5):
+                while await retry_budget(one) < 10000:
+                    await asyncio.sleep(0.1)
+            assert status_of(await one.get("/one/x")) == 200
+
+    run(main)
+
+
+def test_faulty_settings_change_nothing(tmp_path: Path) -> None:
+    """Guards against a daemon that ends over a settings file that is being written."""
+
+    async def main() -> None:
+        async with mesh(tmp_path, "one") as (_, (one,)):
+            path = one.write_settings(tmp_path)
+            path.write_text(path.read_text()[:200])
+            one.signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            assert status_of(await one.get("/one/x")) == 200
+
+    run(main)
+
+
+async def retry_budget(sidecar: Sidecar) -> float:
+    name = 'cassiasail_mesh_retry_budget{service="one"} '
+    lines = (await sidecar.metrics()).splitlines()
+    return next(float(line[len(name) :]) for line in lines if line.startswith(name))
+
+
 def test_the_timeout_of_a_route_ends_a_request(tmp_path: Path) -> None:
     """Guards against requests that are held beyond the time of their route."""
 
--- a/tests/lib/platform_stand_in.py
+++ b/tests/lib/platform_stand_in.py
@@ -158,6 +158,7 @@
         self.sequence = 0
         self.state = "ready"
         self.slots = 4
+        self.retry_slack = 62
         self.address_by_use = {
             use: Address(HOST, free_port())
             for use in ("inbound", "outbound", "readiness", "admin", "target")
@@ -178,10 +179,15 @@
         await web.TCPSite(self._runner, *self.address_by_use["target"]).start()
         self._reports = asyncio.create_task(self._report())
 
+    def write_settings(self, directory: Path) -> Path:
+        """Write the settings file as the platform does and return its path."""
+        path = directory / f"{self.name}.toml"
+        path.write_text(self._settings())
+        return path
+
     async def start_daemon(self, directory: Path) -> None:
-        settings = directory / f"{self.name}.toml"
-        settings.write_text(self._settings())
-        environment = dict(os.environ, CASSIASAIL_BOOT=str(settings))
+        path = self.write_settings(directory)
+        environment = dict(os.environ, CASSIASAIL_BOOT=str(path))
         environment["PYTHONPATH"] = str(REPO / "src")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -349,6 +355,6 @@
 graceS = 6
 configApplyMs = 2000
 retryBudgetRatio = 0.2
-budgetSlack = 62
+budgetSlack = {self.retry_slack}
 budgetWindowS = 10
 """
