--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -9,6 +9,9 @@
 
 # A connection is not reused this close to the end of the server's idle time.
 IDLE_MARGIN_SECONDS = 0.5
+# Idle connections kept for one address. A burst opens many; those beyond the slots of
+# a target are of no use afterwards, and descriptors are limited for each process.
+MAX_IDLE_PER_ADDRESS = 32
 
 
 class ConnectionPool:
@@ -57,7 +60,7 @@
         else:
             result = await connection.exchange(request, timeout=left, accept=accept)
         if connection.is_open:
-            self._idle_by_address.setdefault(address, []).append(connection)
+            self._keep(address, connection)
         return result
 
     def forget(self, address: Address) -> None:
@@ -70,6 +73,13 @@
         for address in tuple(self._idle_by_address):
             self.forget(address)
 
+    def _keep(self, address: Address, connection: ClientConnection) -> None:
+        idle = [each for each in self._idle_by_address.get(address, ()) if each.is_open]
+        idle.append(connection)
+        while len(idle) > MAX_IDLE_PER_ADDRESS:
+            idle.pop(0).close()
+        self._idle_by_address[address] = idle
+
     def _take(
         self, address: Address, max_idle: float | None
     ) -> ClientConnection | None:
--- a/tests/unit/mesh/test_http1_client.py
+++ b/tests/unit/mesh/test_http1_client.py
@@ -12,7 +12,10 @@
     FailureReason,
 )
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
-from cassiasail._internal.transport.http1.pool import ConnectionPool
+from cassiasail._internal.transport.http1.pool import (
+    MAX_IDLE_PER_ADDRESS,
+    ConnectionPool,
+)
 
 REQUEST = HttpRequest(method=b"GET", target=b"/", headers=((b"host", b"h"),))
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -146,3 +149,40 @@
 
     expected = ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
     assert asyncio.run(main()) == expected
+
+
+def test_a_burst_leaves_a_bounded_number_of_connections() -> None:
+    """Guards against descriptors that run out after a burst.
+
+    Seen in incident inc-8c14 of censo-viv: 2,880 descriptors of 4,100 in use.
+    """
+
+    async def main() -> int:
+        open_now = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal open_now
+            open_now += 1
+            try:
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    await asyncio.sleep(0.1)
+                    writer.write(OK)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                open_now -= 1
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        pool = ConnectionPool(connect_timeout=1, silence=1, idle=10)
+        burst = [pool.exchange(address, REQUEST, timeout=3) for _ in range(100)]
+        await asyncio.gather(*burst)
+        await asyncio.sleep(0.2)
+        kept = open_now
+        pool.close()
+        server.close()
+        return kept
+
+    assert asyncio.run(main()) <= MAX_IDLE_PER_ADDRESS
