--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Settings shared by all tests."""
 
-from collections.abc from pathlib import Path
-import Iterator
+from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 from hypothesis import settings
@@ -21,6 +21,7 @@
     yield
     invariants.set_strict(False)
 
+
 KNOWN_RED = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
 
 
