Simplify what the sidecar wrote twice, and drop what it does not use

Read again, the change had logic twice and work that need not be done: - doubling pauses stood in three modules: backoff.py serves them; - a moving average of service times stood in admission and in balancing: RunningMean; - both programs loaded settings or exited with the same lines: startup.load_or_exit; - the life of a target was put together in seven places: TargetReport.life; - each answer of a target was decoded twice, and the size of a request head was summed anew for each header; - unused: per-route times in admission, SplitState.retain, Choice.wait, the count of opened connections, a dummy task for rejected input, a field used for two counts.

--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -2,7 +2,9 @@
 
 The daemon beside the target is the only way to it, so the queue stands here and not
 in the target: more urgent requests overtake, and a request that would wait too long
-is refused at once, while another target may still take it.
+is refused at once, while another target may still take it. Among requests of one rank,
+those that can still meet their latency objective go first: under overload the slots
+then serve answers that are in time, and not a queue in which all are late.
 """
 
 import asyncio
@@ -19,25 +21,18 @@
 MAX_WAITING_PER_SLOT = 64
 
 
-class ServiceSeconds:
-    """Moving averages of the service time in seconds, overall and per route."""
+class RunningMean:
+    """Moving average of service times in seconds; the first samples count most."""
 
     def __init__(self) -> None:
-        self.mean = FIRST_SECONDS
-        self._seconds_by_route: dict[str, float] = {}
+        self.seconds = FIRST_SECONDS
         self._samples = 0
 
-    def expected(self, route: str) -> float:
-        """Return the expected service time of a request on ``route``."""
-        return self._seconds_by_route.get(route, self.mean)
-
-    def measured(self, route: str, seconds: float) -> None:
-        """Record a request on ``route`` that took ``seconds``."""
+    def add(self, seconds: float) -> None:
+        """Record a request that took ``seconds``."""
         self._samples += 1
         weight = max(SAMPLE_WEIGHT, 1 / self._samples)
-        self.mean += weight * (seconds - self.mean)
-        old = self._seconds_by_route.get(route, seconds)
-        self._seconds_by_route[route] = old + SAMPLE_WEIGHT * (seconds - old)
+        self.seconds += weight * (seconds - self.seconds)
 
 
 @dataclass(order=True, slots=True)
@@ -57,7 +52,7 @@
 
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
-        self.seconds = ServiceSeconds()
+        self.service_time = RunningMean()
         self.running = 0
         self.closed: HostReason | None = None
         self._waiting: list[_Waiting] = []
@@ -75,7 +70,7 @@
             return 0.0
         before = sum((each.rank, each.late) <= (rank, late) for each in self._waiting)
         excess = max(0, self.running - self.slots)
-        return (before + excess + 1) * self.seconds.mean / self.slots
+        return (before + excess + 1) * self.service_time.seconds / self.slots
 
     async def enter(
         self, *, rank: int, late: bool, max_wait: float
--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -15,7 +15,7 @@
 from ...protocol.exchanges import Address, parse_address
 from ...state.calls import HostLoad
 from ...state.hosts import HostId, HostRecord, TargetState
-from .admission import FIRST_SECONDS, SAMPLE_WEIGHT
+from .admission import FIRST_SECONDS, SAMPLE_WEIGHT, RunningMean
 from .following import PeerOrder
 
 # Bytes between data centres are paid for by volume, and those between regions share
@@ -92,18 +92,11 @@
         return max(0, ahead + 1 - slots) * seconds / slots
 
 
-@dataclass(slots=True, kw_only=True)
-class _RouteSeconds:
-    mean: float = FIRST_SECONDS
-    samples: int = 0
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Choice:
     """A chosen VM and what was expected of it; times in seconds."""
 
     view: HostView
-    wait: float
     seconds: float
     cost: float
 
@@ -117,7 +110,7 @@
     own_address: str
     random: Random
     view_by_host: dict[HostId, HostView] = field(default_factory=dict)
-    _seconds_by_route: dict[str, _RouteSeconds] = field(default_factory=dict)
+    _time_by_route: dict[str, RunningMean] = field(default_factory=dict)
 
     def update(self, record: HostRecord, version: int) -> None:
         """Take a new or changed record, stored as ``version``."""
@@ -232,15 +225,14 @@
 
     def expected_seconds(self, route: str) -> float:
         """Return the mean service time on ``route`` in seconds."""
-        return self._seconds_by_route.setdefault(route, _RouteSeconds()).mean
+        return self._time_by_route.setdefault(route, RunningMean()).seconds
 
     def answered(self, view: HostView, route: str, ran: float) -> None:
         """Record that a request on ``route`` took ``ran`` seconds of its target."""
-        known = self._seconds_by_route.setdefault(route, _RouteSeconds())
-        known.samples += 1
-        known.mean += max(SAMPLE_WEIGHT, 1 / known.samples) * (ran - known.mean)
-        if known.mean > 0:
-            view.slowness += SAMPLE_WEIGHT * (ran / known.mean - view.slowness)
+        usual = self._time_by_route.setdefault(route, RunningMean())
+        usual.add(ran)
+        if usual.seconds > 0:
+            view.slowness += SAMPLE_WEIGHT * (ran / usual.seconds - view.slowness)
         view.suspected = False
 
     def reported(self, view: HostView, load: HostLoad) -> None:
@@ -276,7 +268,7 @@
             + LATENCY_COST * min(used, 10.0)
             + FAILURE_COST * failing
         )
-        return Choice(view=view, wait=wait, seconds=seconds, cost=cost)
+        return Choice(view=view, seconds=seconds, cost=cost)
 
     def _cheapest(self, choices: Iterable[Choice]) -> Choice | None:
         ranked = sorted(choices, key=lambda choice: choice.cost)
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -89,8 +89,13 @@
 
     route: MeshRoute
     service: ServiceName
+    arrived: float
     ends: float
-    objective_ends: float
+
+    @property
+    def objective_ends(self) -> float:
+        return self.arrived + self.route.objective
+
     offered: int = 0
     asks: int = 0
     late: bool = False
@@ -163,8 +168,8 @@
         return _Progress(
             route=route,
             service=service,
+            arrived=call.arrived,
             ends=call.arrived + left,
-            objective_ends=call.arrived + route.objective,
         )
 
     async def _run(self, call: MeshCall, progress: _Progress) -> FinalAnswer:
@@ -204,13 +209,9 @@
         """Wait a little for a target to appear; false if none came."""
         if progress.excluded:
             return False
-        now = self._loop.time()
-        ends = progress.objective_ends - progress.route.objective * (
-            1 - NO_TARGET_SHARE
-        )
-        while now < ends:
+        allowed = NO_TARGET_SHARE * progress.route.objective
+        while self._loop.time() < progress.arrived + allowed:
             await asyncio.sleep(NO_TARGET_POLL_SECONDS)
-            now = self._loop.time()
             if any(self._fleet.serving(progress.service)):
                 return True
         return False
@@ -294,10 +295,8 @@
         expected = self._fleet.expected_seconds(progress.route.name)
         if progress.ends - self._loop.time() < expected / 2:
             return False
-        hosts = set(progress.excluded)
-        if all(
-            view.record.host in hosts for view in self._fleet.serving(progress.service)
-        ):
+        serving = self._fleet.serving(progress.service)
+        if all(view.record.host in progress.excluded for view in serving):
             # The only target of the service is asked once more.
             progress.excluded.clear()
         return self._budget.take(progress.service, len(self._fleet.view_by_host))
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -18,10 +18,11 @@
 from ...protocol.exchanges import Address, ExchangeFailed, Exchanger
 from ...protocol.table_sync import SyncQuery, SyncReply
 from ...state.table_mirror import StoredRow, TableDelta, TableMirror
+from .backoff import Backoff
 from .shared_tables import HistoryGone, SharedTables, StoreFailed
 
 # Pause before a source that failed is asked again, doubled each time up to the second
-# figure; with jitter, so that daemons do not return together.
+# figure.
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 2.0
 # The VMs that the others of a data centre rely on look for the store's return often.
@@ -57,6 +58,14 @@
     before: tuple[Address, ...]
     behind: tuple[Address, ...]
 
+    def relays(self) -> tuple[Address | None, ...]:
+        """Return those of the own data centre that are asked before the store."""
+        return self.before[:RELAYS]
+
+    def sources(self) -> tuple[Address | None, ...]:
+        """Return all that may be asked, in order; None is the store."""
+        return (*self.relays(), None, *self.behind)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Failed:
@@ -69,20 +78,21 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._until_by_source: dict[Address | None, float] = {}
-        self._seconds_by_source: dict[Address | None, float] = {}
+        self._backoff_by_source: dict[Address | None, Backoff] = {}
 
     def until(self, source: Address | None) -> float:
         return self._until_by_source.get(source, 0.0)
 
     def failed(self, source: Address | None, now: float, longest: float) -> None:
-        seconds = self._seconds_by_source.get(source, FIRST_PAUSE_SECONDS)
-        jitter = self._random.uniform(0.5, 1.0)
-        self._until_by_source[source] = now + seconds * jitter
-        self._seconds_by_source[source] = min(longest, 2 * seconds)
+        backoff = self._backoff_by_source.get(source)
+        if backoff is None:
+            backoff = Backoff(first=FIRST_PAUSE_SECONDS, random=self._random)
+            self._backoff_by_source[source] = backoff
+        self._until_by_source[source] = now + backoff.pause(longest=longest)
 
     def worked(self, source: Address | None) -> None:
         self._until_by_source.pop(source, None)
-        self._seconds_by_source.pop(source, None)
+        self._backoff_by_source.pop(source, None)
 
 
 class TableFollower:
@@ -166,9 +176,8 @@
         """
         now = self._loop.time()
         order = self._peers()
-        sources: tuple[Address | None, ...] = order.before[:RELAYS]
-        if self.age > self._times.max_age / 2:
-            sources = (*sources, None, *order.behind)
+        fresh = self.age <= self._times.max_age / 2
+        sources = order.relays() if fresh else order.sources()
         asked = [each for each in sources if self._pauses.until(each) <= now]
         if not asked:
             return
@@ -242,8 +251,7 @@
         """Return the first source that may be asked, waiting for one if need be."""
         while True:
             now = self._loop.time()
-            order = self._peers()
-            sources = (*order.before[:RELAYS], None, *order.behind)
+            sources = self._peers().sources()
             for source in sources:
                 if self._pauses.until(source) <= now:
                     return source
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -60,23 +60,23 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetVerdict:
-    """An answer of a target as the adapter decoded it.
-
-    ``attempt`` is the id that the target echoes, None without one.
-    """
+    """An answer of a target as the adapter decoded it."""
 
     answer: TargetAnswer
-    attempt: str | None
     ran: bool
     other_target: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetCodec:
-    """How requests and answers look on the connection to the target."""
+    """How requests and answers look on the connection to the target.
+
+    ``attempt_of`` returns the attempt id that an answer echoes, None without one.
+    """
 
     encode: Callable[[MeshCall, TargetId, float], HttpRequest]
     decode: Callable[[HttpResponse], TargetVerdict]
+    attempt_of: Callable[[HttpResponse], str | None]
 
 
 class FailingShare:
@@ -100,7 +100,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _UnsafeRun:
-    task: "asyncio.Task[HostReply]"
+    task: "asyncio.Task[HostReply] | None" = None
     followers: int = 0
     handed_over: bool = False
 
@@ -125,11 +125,7 @@
     def set_target(self, report: TargetReport | None) -> None:
         """Serve the target of ``report`` from now on; None if there is none."""
         known = self._target
-        same_life = (
-            known is not None
-            and report is not None
-            and (known.target, known.born) == (report.target, report.born)
-        )
+        same_life = known and report and known.life == report.life
         self._target = report
         if report is None or report.leaving:
             self._admission.close(
@@ -158,7 +154,7 @@
             running=admission.running,
             waiting=admission.waiting,
             slots=admission.slots,
-            seconds=admission.seconds.mean,
+            seconds=admission.service_time.seconds,
             failing=self._failing.at(self._loop.time()),
         )
 
@@ -175,25 +171,28 @@
         run = self._unsafe_by_attempt.get(attempt)
         if run is None:
             # The task must know its record before it starts, to mark the hand-over.
-            run = _UnsafeRun(task=None)  # type: ignore[arg-type]
+            run = _UnsafeRun()
             run.task = self._loop.create_task(self._run(hosted, run))
             self._unsafe_by_attempt[attempt] = run
             run.task.add_done_callback(lambda _: self._forget_later(attempt))
+        task = run.task
+        assert task is not None
         run.followers += 1
         try:
-            return await asyncio.shield(run.task)
+            return await asyncio.shield(task)
         except asyncio.CancelledError:
-            if run.task.cancelled():
+            if task.cancelled():
                 return _refused(HostReason.EXPIRED)
             raise
         finally:
             run.followers -= 1
-            if not run.followers and not run.task.done():
-                self._loop.call_later(REJOIN_SECONDS, self._withdraw, run)
+            if not run.followers and not task.done():
+                self._loop.call_later(REJOIN_SECONDS, self._withdraw, run, task)
 
-    def _withdraw(self, run: _UnsafeRun) -> None:
+    @staticmethod
+    def _withdraw(run: _UnsafeRun, task: "asyncio.Task[HostReply]") -> None:
         if not run.followers and not run.handed_over:
-            run.task.cancel()
+            task.cancel()
 
     def _forget_later(self, attempt: str) -> None:
         self._loop.call_later(
@@ -243,7 +242,7 @@
         started = self._loop.time()
 
         def is_own(response: HttpResponse) -> bool:
-            echoed = self._codec.decode(response).attempt
+            echoed = self._codec.attempt_of(response)
             return echoed is None or not call.attempt or echoed == call.attempt
 
         result = await self._pool.exchange(
@@ -261,7 +260,7 @@
         )
         self._failing.record(failed, self._loop.time())
         if reply.outcome is HostOutcome.ANSWERED:
-            admission.seconds.measured(hosted.route, ran)
+            admission.service_time.add(ran)
         if failed:
             self._events.write(
                 "target_failed",
--- a/src/cassiasail/_internal/coordination/mesh/probing.py
+++ b/src/cassiasail/_internal/coordination/mesh/probing.py
@@ -11,12 +11,15 @@
 from ...protocol import table_sync
 from ...protocol.exchanges import ExchangeFailed, Exchanger
 from ...protocol.table_sync import SyncQuery
+from .backoff import Backoff
 from .balancing import HostView
 
 # A killed daemon is back within about a second; the pause doubles up to the second
 # figure for VMs that are gone for long.
 FIRST_PAUSE_SECONDS = 0.4
 MAX_PAUSE_SECONDS = 4.0
+# Part of a pause that is always waited: a killed daemon needs most of the first one.
+JITTER = 0.7
 PROBE_SECONDS = 0.5
 # Names no table: the answer of any kind shows that the daemon serves.
 _PROBE = table_sync.encode_query(SyncQuery(table="", after=0, wait=0.0))
@@ -48,11 +51,10 @@
             task.cancel()
 
     async def _probe(self, view: HostView) -> None:
-        pause = FIRST_PAUSE_SECONDS
+        backoff = Backoff(first=FIRST_PAUSE_SECONDS, random=self._random, jitter=JITTER)
         # A changed record clears the suspicion: the VM has just written it.
         while view.suspected and not view.removed:
-            await asyncio.sleep(pause * self._random.uniform(0.7, 1.0))
-            pause = min(MAX_PAUSE_SECONDS, 2 * pause)
+            await asyncio.sleep(backoff.pause(longest=MAX_PAUSE_SECONDS))
             result = await self._pool.exchange(
                 view.address, _PROBE, timeout=PROBE_SECONDS
             )
--- a/src/cassiasail/_internal/coordination/mesh/publishing.py
+++ b/src/cassiasail/_internal/coordination/mesh/publishing.py
@@ -9,6 +9,7 @@
 
 from ...events import EventLog
 from ...state.table_mirror import StoredRow
+from .backoff import Backoff
 from .following import FIRST_PAUSE_SECONDS
 from .shared_tables import ConditionalWrite, SharedTables, WriteConflict, WriteDone
 
@@ -40,8 +41,8 @@
         self._version = 0
         self._work = asyncio.Event()
 
-    def want(self, value: bytes | None) -> None:
-        """Have the row hold ``value``; None until there is something to say."""
+    def want(self, value: bytes) -> None:
+        """Have the row hold ``value``."""
         self._wanted = value
         self._work.set()
 
@@ -56,7 +57,7 @@
 
     async def run(self) -> None:
         """Write until cancelled."""
-        pause = FIRST_PAUSE_SECONDS
+        backoff = Backoff(first=FIRST_PAUSE_SECONDS, random=self._random)
         while True:
             await self._work.wait()
             await asyncio.sleep(GATHER_SECONDS)
@@ -65,11 +66,10 @@
             if wanted is None or wanted == self._stored:
                 continue
             if await self._write(wanted):
-                pause = FIRST_PAUSE_SECONDS
+                backoff.reset()
                 continue
             self._work.set()
-            await asyncio.sleep(pause * self._random.uniform(0.5, 1.0))
-            pause = min(MAX_PAUSE_SECONDS, 2 * pause)
+            await asyncio.sleep(backoff.pause(longest=MAX_PAUSE_SECONDS))
 
     async def _write(self, wanted: bytes) -> bool:
         write = ConditionalWrite(key=self._key, value=wanted, expected=self._version)
--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -37,6 +37,11 @@
     leaving: bool
     cold_seconds: float
 
+    @property
+    def life(self) -> "Life":
+        """One start of one target."""
+        return self.target, self.born
+
 
 class ReportVerdict(Enum):
     """What became of a report; the value is the one in logs."""
@@ -84,14 +89,17 @@
         """Take a report of a target unless it is older than what is known."""
         if report.address != self._address:
             return ReportVerdict.OTHER_ADDRESS
-        life = (report.target, report.born)
+        life = report.life
         if report.born < self._newest_born:
             return ReportVerdict.STALE
         if life in self._ended and not report.leaving:
             return ReportVerdict.STALE
         current = self.current
-        same_life = current is not None and life == (current.target, current.born)
-        if same_life and current is not None and report.sequence <= current.sequence:
+        if (
+            current is not None
+            and current.life == life
+            and report.sequence <= current.sequence
+        ):
             return ReportVerdict.STALE
         if self._needs_confirmation(report):
             self._unconfirmed = report
@@ -110,7 +118,7 @@
         before = self._unconfirmed
         newer = (
             before is not None
-            and (before.target, before.born) == (report.target, report.born)
+            and before.life == report.life
             and before.sequence < report.sequence
         )
         return not newer
@@ -119,7 +127,7 @@
         self._newest_born = report.born
         self._unconfirmed = None
         if report.leaving:
-            self._end((report.target, report.born))
+            self._end(report.life)
         self.current = report
         self._silent = False
         self._changed(report)
@@ -131,7 +139,7 @@
             return ReportVerdict.STALE
         if born is not None and born != current.born:
             return ReportVerdict.STALE
-        self._end((current.target, current.born))
+        self._end(current.life)
         self.current = self._unconfirmed = None
         self._changed(None)
         return ReportVerdict.TAKEN
@@ -154,7 +162,7 @@
         self._end(life)
         self._unconfirmed = None
         current = self.current
-        if current is not None and (current.target, current.born) == life:
+        if current is not None and current.life == life:
             self.current = None
             self._changed(None)
 
--- a/src/cassiasail/_internal/daemon.py
+++ b/src/cassiasail/_internal/daemon.py
@@ -8,11 +8,10 @@
 
 from absl import logging
 
-from ..exceptions import SettingsError
 from .runtime import Runtime
 from .settings import Settings, load
+from .startup import load_or_exit
 
-EXIT_SETTINGS = 1
 EXIT_FAILED = 3
 
 
@@ -38,15 +37,7 @@
         "--check", action="store_true", help="check the settings and exit"
     )
     options = parser.parse_args()
-    try:
-        settings = load(options.config)
-    except SettingsError as error:
-        for fault in error.faults:
-            print(fault, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    if options.check:
-        print("the settings are valid")
-        return
+    settings = load_or_exit(lambda: load(options.config), check_only=options.check)
     logging.set_verbosity(logging.INFO)
     if not asyncio.run(run(settings)):
         # A supervisor that restarts only after failures must restart it.
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -11,12 +11,12 @@
 from ..coordination.mesh.hosting import Host
 from ..coordination.mesh.publishing import RecordPublisher
 from ..coordination.mesh.registration import (
+    Life,
     ReportVerdict,
     TargetRegistration,
     TargetReport,
 )
 from ..events import EventLog
-from ..ids import TargetId
 from ..protocol.exchanges import ExchangeFailed, Exchanger
 from ..protocol.http1 import HttpRequest, HttpResponse
 from ..state.hosts import HostRecord, TargetState, encode_record
@@ -58,7 +58,7 @@
         self._background_tasks: set[asyncio.Task[None]] = set()
         # The target that was reported last, also after it is gone.
         self._named: TargetReport | None = None
-        self._published: tuple[TargetId, int, TargetState] | None = None
+        self._published: tuple[Life, TargetState] | None = None
         self._stopping = False
         self._registration = TargetRegistration(
             address=str(settings.target),
@@ -154,10 +154,10 @@
         self._host.set_target(report)
         state = self._registration.state
         named = report if report is not None else self._named
-        if named is None or (named.target, named.born, state) == self._published:
+        if named is None or (named.life, state) == self._published:
             return
         self._named = named
-        self._published = (named.target, named.born, state)
+        self._published = (named.life, state)
         self._events.write("target_state", target=named.target, state=state.value)
         if not self._stopping:
             self._publish(state)
--- a/src/cassiasail/_internal/sidecar/program.py
+++ b/src/cassiasail/_internal/sidecar/program.py
@@ -4,16 +4,15 @@
 import asyncio
 import os
 import signal
-import sys
 from collections.abc import Callable
 from pathlib import Path
 
 from ...exceptions import SettingsError
 from ...platform.settings import PATH_VARIABLE, SidecarSettings, decode_settings
 from ..events import EventLog
+from ..startup import load_or_exit
 from .runtime import SidecarRuntime
 
-EXIT_SETTINGS = 1
 # How often the settings file is looked at; the platform may change it without a signal.
 SETTINGS_CHECK_SECONDS = 2.0
 
@@ -89,13 +88,5 @@
         "--check", action="store_true", help="check the settings and exit"
     )
     options = parser.parse_args()
-    try:
-        settings = load_settings()
-    except SettingsError as error:
-        for fault in error.faults:
-            print(fault, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    if options.check:
-        print("the settings are valid")
-        return
+    settings = load_or_exit(load_settings, check_only=options.check)
     asyncio.run(run(settings, options.metrics_port))
--- a/src/cassiasail/_internal/state/mesh_config.py
+++ b/src/cassiasail/_internal/state/mesh_config.py
@@ -179,12 +179,6 @@
         self._credit_by_route[route.name] = (version, credit_by_service)
         return chosen.service
 
-    def retain(self, names: Iterable[str]) -> None:
-        """Forget routes that are not among ``names``."""
-        kept = set(names)
-        for name in self._credit_by_route.keys() - kept:
-            del self._credit_by_route[name]
-
 
 def _kept(
     credit_by_service: Mapping[ServiceName, float],
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -17,10 +17,6 @@
 MAX_ANSWER_BYTES = 64 << 20
 
 
-def _accept_all(response: HttpResponse) -> bool:
-    return True
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection to a server; not usable for two requests at a time."""
 
@@ -29,7 +25,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[HttpResponse | ExchangeFailed] | None = None
-        self._accept: Callable[[HttpResponse], bool] = _accept_all
+        self._accept: Callable[[HttpResponse], bool] | None = None
         self._method = b""
         self._reset_message()
         # False once bytes came that belong to no request, or the server closes.
@@ -118,7 +114,7 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool] = _accept_all,
+        accept: Callable[[HttpResponse], bool] | None = None,
     ) -> HttpResponse | ExchangeFailed:
         """Send ``request`` and return its answer, or why there is none.
 
@@ -181,7 +177,7 @@
             headers=tuple(self._headers),
             body=b"".join(self._chunks),
         )
-        if not self._accept(response):
+        if self._accept is not None and not self._accept(response):
             self.reusable = False
             return
         waiter, self._waiter = self._waiter, None
--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -28,7 +28,6 @@
         self._idle = idle
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
         self._loop = asyncio.get_running_loop()
-        self.opened = 0
 
     async def exchange(
         self,
@@ -52,13 +51,9 @@
             )
             if isinstance(opened, ExchangeFailed):
                 return opened
-            self.opened += 1
             connection = opened
         left = ends - self._loop.time()
-        if accept is None:
-            result = await connection.exchange(request, timeout=left)
-        else:
-            result = await connection.exchange(request, timeout=left, accept=accept)
+        result = await connection.exchange(request, timeout=left, accept=accept)
         if connection.is_open:
             self._keep(address, connection)
         return result
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -25,6 +25,8 @@
 # A connection that was closed is read for this long, so that late bytes of the client
 # do not reset it before the last answer has arrived.
 LINGER_SECONDS = 1.0
+# The colon, the space and the end of the line of a header.
+HEADER_OVERHEAD = 4
 SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -48,6 +50,9 @@
     target: bytes = b""
     headers: list[Header] = field(default_factory=list)
     chunks: list[bytes] = field(default_factory=list)
+    # Of the lines that the parser delivered, and of all that came for the head.
+    head_bytes: int = 0
+    received_bytes: int = 0
     body_bytes: int = 0
     head_complete: bool = False
 
@@ -166,12 +171,12 @@
     def on_url(self, url: bytes) -> None:
         assert self._reading is not None
         self._reading.target += url
-        self._check_head_size()
+        self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self._reading is not None
         self._reading.headers.append((name.lower(), value))
-        self._check_head_size()
+        self._count_head(len(name) + len(value) + HEADER_OVERHEAD)
 
     def on_headers_complete(self) -> None:
         reading = self._reading
@@ -215,13 +220,11 @@
 
     # Checks of the head.
 
-    def _check_head_size(self) -> None:
+    def _count_head(self, size: int) -> None:
         reading = self._reading
         assert reading is not None
-        size = len(reading.target) + sum(
-            len(name) + len(value) + 4 for name, value in reading.headers
-        )
-        if size > self._server.limits().header_bytes:
+        reading.head_bytes += size
+        if reading.head_bytes > self._server.limits().header_bytes:
             raise _RejectedError(431)
 
     def _check_unfinished_head(self, received: int) -> None:
@@ -229,14 +232,13 @@
         reading = self._reading
         if reading is None or reading.head_complete:
             return
-        reading.body_bytes += received
-        if reading.body_bytes > 2 * self._server.limits().header_bytes:
+        reading.received_bytes += received
+        if reading.received_bytes > 2 * self._server.limits().header_bytes:
             self._reject(431)
 
     def _check_head(self) -> None:
         reading = self._reading
         assert reading is not None
-        reading.body_bytes = 0
         hosts = [value for name, value in reading.headers if name == b"host"]
         if len(hosts) > 1 or (not hosts and self._parser.get_http_version() == "1.1"):
             raise _RejectedError(400)
@@ -273,7 +275,7 @@
         for position, exchange in enumerate(self._exchanges):
             if position and exchange.request.method not in SAFE_METHODS:
                 return
-            if exchange.task is None:
+            if exchange.task is None and not exchange.done:
                 exchange.task = self._loop.create_task(self._run(exchange))
 
     async def _run(self, exchange: _Exchange) -> None:
@@ -324,7 +326,6 @@
             return
         request = HttpRequest(method=b"GET", target=b"/", headers=())
         exchange = _Exchange(request=request, keep_alive=False)
-        exchange.task = self._loop.create_task(asyncio.sleep(0))
         exchange.response = HttpResponse(status=status)
         exchange.done = True
         self._reading = None
--- a/src/cassiasail/platform/requests.py
+++ b/src/cassiasail/platform/requests.py
@@ -99,7 +99,6 @@
 
 
 def _decode_target_response(response: HttpResponse) -> TargetVerdict:
-    attempt = response.header(_ATTEMPT)
     kept = tuple(
         pair
         for pair in end_to_end(response.headers)
@@ -112,12 +111,18 @@
             headers=kept,
             body=response.body,
         ),
-        attempt=None if attempt is None else attempt.decode("latin-1"),
         ran=response.header(_NOT_RUN) is None and response.status != _MISDIRECTED,
         other_target=response.status == _MISDIRECTED,
     )
 
 
+def _attempt_of(response: HttpResponse) -> str | None:
+    attempt = response.header(_ATTEMPT)
+    return None if attempt is None else attempt.decode("latin-1")
+
+
 TARGET_CODEC = TargetCodec(
-    encode=_encode_target_request, decode=_decode_target_response
+    encode=_encode_target_request,
+    decode=_decode_target_response,
+    attempt_of=_attempt_of,
 )
--- a/tests/unit/mesh/test_admission.py
+++ b/tests/unit/mesh/test_admission.py
@@ -51,7 +51,7 @@
     """Guards against requests that are held and then refused."""
 
     async def body(admission: Admission) -> None:
-        admission.seconds.mean = 1.0
+        admission.service_time.seconds = 1.0
         await admission.enter(rank=0, late=False, max_wait=1)
         reason = await admission.enter(rank=0, late=False, max_wait=0.5)
         assert reason is HostReason.BUSY
@@ -63,7 +63,7 @@
     """Guards against a request that is handed over after its time."""
 
     async def body(admission: Admission) -> None:
-        admission.seconds.mean = 0.01
+        admission.service_time.seconds = 0.01
         await admission.enter(rank=0, late=False, max_wait=1)
         reason = await admission.enter(rank=0, late=False, max_wait=0.05)
         assert reason is HostReason.EXPIRED
