--- a/tests/unit/mesh/test_entry.py
+++ b/tests/unit/mesh/test_entry.py
@@ -23,9 +23,7 @@
 from cassiasail._internal.ids import (
     DataCentre,
     Region,
-    ServiceName,
     TargetId,
-    Version,
 )
 from cassiasail._internal.state.calls import (
     HostedCall,
@@ -38,28 +36,13 @@
 )
 from cassiasail._internal.state.hosts import HostRecord, TargetState
 from cassiasail._internal.state.mesh_config import (
-    ClientLimits,
-    MeshConfig,
     MeshRoute,
-    MeshService,
     Repeatable,
-    WeightedService,
 )
 from devtools.virtual_loop import VirtualLoop
 from tests.lib.events import silent_events
+from tests.lib.meshes import ONE, ROUTE, config_of
 
-SERVICE = ServiceName("one")
-ROUTE = MeshRoute(
-    name="r",
-    host="h",
-    prefix="/a/",
-    repeatable=Repeatable.SAFE,
-    timeout=2.0,
-    objective=1.0,
-    rank=1,
-    attempts=2,
-    split=(WeightedService(service=SERVICE, weight=1),),
-)
 UNSAFE = replace(ROUTE, repeatable=Repeatable.UNSAFE)
 ANSWERED = HostReply(
     outcome=HostOutcome.ANSWERED,
@@ -86,7 +69,7 @@
         address=f"10.0.0.{len(host)}:80",
         data_centre=DataCentre(data_centre),
         region=Region(region),
-        service=SERVICE,
+        service=ONE,
         target=TargetId(f"i-{host}"),
         born=1,
         slots=4,
@@ -130,18 +113,7 @@
 
     def run(self, *, path: bytes = b"/a/x", slack: float = 100) -> FinalAnswer:
         async def main() -> FinalAnswer:
-            config = MeshConfig(
-                version=Version(1),
-                routes=(self.route,),
-                service_by_name={
-                    SERVICE: MeshService(
-                        name=SERVICE, health_path="/", max_connections=9
-                    )
-                },
-                limits=ClientLimits(
-                    header_bytes=1, body_bytes=1, header_seconds=1, idle_seconds=1
-                ),
-            )
+            config = config_of(self.route)
             entry = Entry(
                 config=lambda: config,
                 fleet=fleet_of(*self.records),
@@ -158,7 +130,7 @@
                 target=path,
                 headers=(),
                 body=b"",
-                caller=SERVICE,
+                caller=ONE,
                 arrived=asyncio.get_running_loop().time(),
                 time_left=1.5,
             )
@@ -258,7 +230,7 @@
 def choose(fleet: Fleet, prepare: Callable[[Fleet], None]) -> str:
     async def main() -> str:
         prepare(fleet)
-        choice = fleet.choose(SERVICE, route="r", objective=1.0, excluded=())
+        choice = fleet.choose(ONE, route="r", objective=1.0, excluded=())
         assert choice is not None
         return choice.view.record.host
 
--- a/tests/unit/mesh/test_mesh_config.py
+++ b/tests/unit/mesh/test_mesh_config.py
@@ -7,47 +7,18 @@
 
 from cassiasail._internal.ids import ServiceName, Version
 from cassiasail._internal.state.mesh_config import (
-    ClientLimits,
     ConfigRejected,
-    MeshConfig,
     MeshRoute,
-    MeshService,
-    Repeatable,
     SplitState,
     WeightedService,
     checked,
 )
-
-ONE, TWO = ServiceName("one"), ServiceName("two")
-ROUTE = MeshRoute(
-    name="r",
-    host="h",
-    prefix="/a/",
-    repeatable=Repeatable.SAFE,
-    timeout=1.0,
-    objective=0.5,
-    rank=1,
-    attempts=2,
-    split=(WeightedService(service=ONE, weight=1),),
-)
-
-
-def config(*routes: MeshRoute) -> MeshConfig:
-    services = {
-        name: MeshService(name=name, health_path="/healthz", max_connections=10)
-        for name in (ONE, TWO)
-    }
-    limits = ClientLimits(
-        header_bytes=1, body_bytes=1, header_seconds=1, idle_seconds=1
-    )
-    return MeshConfig(
-        version=Version(1), routes=routes, service_by_name=services, limits=limits
-    )
+from tests.lib.meshes import ONE, ROUTE, TWO, config_of
 
 
 def test_the_longest_prefix_wins() -> None:
     """Guards against a request on the route of a shorter prefix."""
-    known = config(ROUTE, replace(ROUTE, name="longer", prefix="/a/b/"))
+    known = config_of(ROUTE, replace(ROUTE, name="longer", prefix="/a/b/"))
     found = known.match("h", "/a/b/c")
     assert found is not None
     assert found.name == "longer"
@@ -58,7 +29,7 @@
 
 def test_a_prefix_of_all_paths_matches_any() -> None:
     """Guards against a catch-all route that matches nothing."""
-    assert config(replace(ROUTE, prefix="/")).match("h", "/x") is not None
+    assert config_of(replace(ROUTE, prefix="/")).match("h", "/x") is not None
 
 
 @pytest.mark.parametrize(
@@ -76,13 +47,13 @@
 )
 def test_a_faulty_configuration_is_not_taken(route: MeshRoute) -> None:
     """Guards against a bad version that is applied in part."""
-    result = checked(config(ROUTE, replace(route, name="bad", host="h2")))
+    result = checked(config_of(ROUTE, replace(route, name="bad", host="h2")))
     assert isinstance(result, ConfigRejected)
 
 
 def test_two_routes_of_one_prefix_are_rejected() -> None:
     """Guards against a route that depends on the order of the document."""
-    result = checked(config(ROUTE, replace(ROUTE, name="twin")))
+    result = checked(config_of(ROUTE, replace(ROUTE, name="twin")))
     assert isinstance(result, ConfigRejected)
 
 
