Ask all relays together for the first copy; end a recovery at its first answer

Change: the relays of a data centre are asked together; the second one turns to the store after 0.3 s. The first usable answer ends a recovery.

--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -37,6 +37,9 @@
 RECOVER_SECONDS = 0.5
 # How long the first poll waits until the peers are known from their own table.
 FIRST_WAIT_SECONDS = 0.6
+# How long the second relay of a data centre waits for the first one when both start: a
+# daemon needs about this long from its start to its first answer.
+RELAY_FIRST_WAIT_SECONDS = 0.3
 # VMs of the own data centre that are asked before the store.
 RELAYS = 2
 # Bounds how long a follower is kept waiting, whatever it asks for.
@@ -152,6 +155,7 @@
         """Follow the table until cancelled."""
         if self._starts_after is not None:
             await self._wait_for_peers(self._starts_after)
+        await self._read_first()
         while True:
             source = await self._next_source()
             reply = await self._poll(source, self._wait_at(source))
@@ -168,6 +172,23 @@
         except TimeoutError:
             self._events.write("peers_unknown", table=self._table)
 
+    async def _read_first(self) -> None:
+        """Ask the relays together for the first copy.
+
+        After a power loss any relay may start late. The second one turns to the store
+        soon, so that the others need not: over a narrow link their reads would take
+        longer than the wait.
+        """
+        relays = self._peers().relays()
+        if not relays:
+            return
+        is_relay = len(relays) < RELAYS
+        wait = RELAY_FIRST_WAIT_SECONDS if is_relay else self._times.wait
+        if not await self._ask_together(
+            relays, wait=wait, seconds=wait + PEER_MARGIN_SECONDS
+        ):
+            await self._recover()
+
     async def _recover(self) -> None:
         """Ask all sources at once when the one in use fails.
 
@@ -179,18 +200,34 @@
         fresh = self.age <= self._times.max_age / 2
         sources = order.relays() if fresh else order.sources()
         asked = [each for each in sources if self._pauses.until(each) <= now]
-        if not asked:
-            return
-        tasks = [asyncio.create_task(self._poll(each, 0.0)) for each in asked]
-        await asyncio.wait(tasks, timeout=RECOVER_SECONDS)
-        for source, task in zip(asked, tasks, strict=True):
-            if not task.done():
+        await self._ask_together(asked, wait=0.0, seconds=RECOVER_SECONDS)
+
+    async def _ask_together(
+        self, sources: Iterable[Address | None], *, wait: float, seconds: float
+    ) -> bool:
+        """Take the first usable answer of ``sources``; false if there is none."""
+        source_by_task = {
+            asyncio.create_task(self._poll(each, wait)): each for each in sources
+        }
+        waiting = set(source_by_task)
+        ends = self._loop.time() + seconds
+        try:
+            while waiting:
+                done, waiting = await asyncio.wait(
+                    waiting,
+                    timeout=max(0.0, ends - self._loop.time()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    break
+                if any(self._taken(source_by_task[t], t.result()) for t in done):
+                    return True
+            for task in waiting:
+                self._source_failed(source_by_task[task], "silent")
+            return False
+        finally:
+            for task in waiting:
                 task.cancel()
-                self._source_failed(source, "silent")
-            elif self._taken(source, task.result()):
-                for other in tasks:
-                    other.cancel()
-                return
 
     def _wait_at(self, source: Address | None) -> float:
         """Return how long ``source`` may wait for changes.
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -90,7 +90,9 @@
 class Node:
     """One daemon that follows the table and serves it on."""
 
-    def __init__(self, store: FakeStore, order: PeerOrder) -> None:
+    def __init__(
+        self, store: FakeStore, order: PeerOrder, times: FollowTimes = TIMES
+    ) -> None:
         self.value_by_key: dict[str, bytes] = {}
         self.seen: list[bytes] = []
         self.order = order
@@ -98,7 +100,7 @@
             tables=store,
             table="t",
             pool=ConnectionPool(connect_timeout=0.2, silence=1, idle=10),
-            times=TIMES,
+            times=times,
             peers=lambda: self.order,
             changed=self._changed,
             unreachable=lambda address: None,
@@ -229,6 +231,46 @@
     asyncio.run(main())
 
 
+def test_a_relay_that_starts_late_holds_up_nobody() -> None:
+    """Guards against a first question that one starting daemon holds.
+
+    Seen on ettpu-forecast trouble-1: after the power loss one daemon took its
+    configuration 1.07 s late, because it had asked a relay that was starting itself.
+    """
+
+    async def main() -> None:
+        late, store, unused = FakeStore(), FakeStore(), FakeStore()
+        late.delay = 5.0
+        store.put("k", b"1")
+        times = FollowTimes(wait=2.0, max_age=3.0)
+        first = await Node(late, ALONE).listen()
+        relay = Node(store, PeerOrder(before=(first,), behind=()), times)
+        second = await relay.listen()
+        follower = Node(unused, PeerOrder(before=(first, second), behind=()), times)
+        await relay.until(b"1", 1.0)
+        await follower.until(b"1", 0.5)
+        assert unused.calls == 0
+
+    asyncio.run(main())
+
+
+def test_a_silent_source_does_not_delay_one_that_answers() -> None:
+    """Guards against a recovery that always takes as long as its slowest source."""
+
+    async def main() -> None:
+        store, silent = FakeStore(), FakeStore()
+        store.put("k", b"1")
+        silent.silent = True
+        other = Node(store, ALONE)
+        address = await other.listen()
+        await other.until(b"1")
+        node = Node(silent, PeerOrder(before=(), behind=(address,)))
+        assert await node.follower._ask_together((None, address), wait=0.0, seconds=5.0)
+        await node.until(b"1", 0.3)
+
+    asyncio.run(main())
+
+
 def test_lost_history_is_read_anew() -> None:
     """Guards against changes that are missed where the store forgot them."""
 
