Stop a request that crashes each target that runs it

Cause: the platform's quarantine was missing: a request that kills its target was sent on at every daemon, without end. Change: the daemon beside a target that dies (lost connections, then a refused one or a new life) names the requests that it ran; the names travel in its record. The fingerprints of the own interface's quarantine are shared, in state/fingerprints.py. A dead target is taken out of service at once instead of after four missed reports.

--- a/src/cassiasail/_internal/coordination/calls.py
+++ b/src/cassiasail/_internal/coordination/calls.py
@@ -5,12 +5,11 @@
 from ..ids import CustomerId, ServiceName
 from ..protocol.answers import Body
 from ..protocol.frames import CallHead, Headers
+from ..state.fingerprints import Fingerprint, fingerprint_of
 from ..state.lists import Allowance, KeyPolicy, Route
 from ..state.refusals import Executed, Refusal, RefusalReason
 from ..state.routes import RouteTable
-from .quarantine import fingerprint_of
 from .retries import CallLimits, parse_limits
-from .strikes import Fingerprint
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -25,6 +25,7 @@
 from ...state.mesh_config import MeshConfig, MeshRoute, Repeatable, SplitState
 from .balancing import Choice, Fleet, HostView
 from .budget import RetryBudget
+from .crashes import CrashHistory
 
 # VMs asked for one request; each refusal costs a round trip.
 MAX_ASKS = 8
@@ -120,6 +121,7 @@
         budget: RetryBudget,
         ask: AskHost,
         suspect: Callable[[HostView, str], None],
+        crashes: CrashHistory,
         events: EventLog,
         random: Random,
     ) -> None:
@@ -128,6 +130,7 @@
         self._budget = budget
         self._ask = ask
         self._suspect = suspect
+        self._crashes = crashes
         self._events = events
         self._random = random
         self._split = SplitState()
@@ -177,6 +180,9 @@
             left = progress.ends - self._loop.time()
             if left < MIN_START_SECONDS or progress.asks >= MAX_ASKS:
                 return self._give_up(progress)
+            if self._crashes.blocks(call):
+                progress.refusal = HostReason.QUARANTINED
+                return self._give_up(progress)
             choice = self._choose(progress)
             if choice is None:
                 if await self._wait_for_target(progress):
@@ -185,6 +191,8 @@
             reply = await self._try(call, progress, choice, left)
             answer = self._judge(progress, choice.view, reply)
             if answer is not None:
+                if reply.outcome is HostOutcome.ANSWERED:
+                    self._crashes.answered(call)
                 return answer
 
     def _choose(self, progress: _Progress) -> Choice | None:
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -31,7 +31,9 @@
     MeshCall,
     TargetAnswer,
 )
+from ...state.hosts import TargetDeath
 from .admission import Admission
+from .crashes import CrashEvidence, CrashHistory
 from .registration import TargetReport
 
 # The target answers by itself at its deadline; the connection is cut a little later.
@@ -48,6 +50,8 @@
 # The share of failures halves in this time without requests; then it is tried again.
 FAILING_HALF_LIFE_SECONDS = 3.0
 
+# A target that dies takes the connections of its requests with it.
+_LOST_CONNECTION = frozenset((HostReason.TARGET_RESET, HostReason.TARGET_BROKE_OFF))
 _REASON_BY_FAILURE = {
     FailureReason.CONNECT_FAILED: HostReason.TARGET_DOWN,
     FailureReason.RESET: HostReason.TARGET_RESET,
@@ -106,16 +110,30 @@
 
 
 class Host:
-    """The requests that run on the target beside this daemon."""
+    """The requests that run on the target beside this daemon.
+
+    ``died`` is told of each death of a target that ran requests.
+    """
 
     def __init__(
-        self, *, pool: Exchanger, codec: TargetCodec, events: EventLog
+        self,
+        *,
+        pool: Exchanger,
+        codec: TargetCodec,
+        crashes: CrashHistory,
+        died: Callable[[TargetDeath], None],
+        events: EventLog,
     ) -> None:
         self._pool = pool
         self._codec = codec
+        self._crashes = crashes
+        self._died = died
+        self._evidence = CrashEvidence()
         self._events = events
         self._loop = asyncio.get_running_loop()
         self._target: TargetReport | None = None
+        # The target that was served last, also after it fell silent.
+        self._last_target: TargetReport | None = None
         self._address: Address | None = None
         self._admission = Admission(slots=1)
         self._failing = FailingShare()
@@ -128,13 +146,18 @@
         same_life = known and report and known.life == report.life
         self._target = report
         if report is None or report.leaving:
+            if report is not None:
+                self._last_target = report
             self._admission.close(
                 HostReason.LEAVING if report else HostReason.NO_TARGET
             )
             return
         if same_life:
+            self._last_target = report
             self._admission.resize(report.slots)
             return
+        self._judge_death(self._last_target)
+        self._last_target = report
         # A new life has free slots, and what was learnt of the former one is void.
         if self._address is not None:
             self._pool.forget(self._address)
@@ -201,6 +224,8 @@
 
     async def _run(self, hosted: HostedCall, run: _UnsafeRun | None) -> HostReply:
         refusal = self._refusal_of(hosted)
+        if refusal is None and self._crashes.blocks(hosted.call):
+            refusal = HostReason.QUARANTINED
         if refusal is not None:
             return _refused(refusal)
         admission = self._admission
@@ -261,6 +286,10 @@
         self._failing.record(failed, self._loop.time())
         if reply.outcome is HostOutcome.ANSWERED:
             admission.service_time.add(ran)
+            self._crashes.answered(call)
+            self._evidence.answered(started)
+        elif self._is_current(target):
+            self._judge_loss(call, target, reply.reason)
         if failed:
             self._events.write(
                 "target_failed",
@@ -274,6 +303,27 @@
             )
         return reply
 
+    def _is_current(self, target: TargetReport) -> bool:
+        return self._target is not None and self._target.life == target.life
+
+    def _judge_loss(
+        self, call: MeshCall, target: TargetReport, reason: HostReason
+    ) -> None:
+        if reason in _LOST_CONNECTION:
+            self._evidence.lost(call, self._loop.time())
+        elif reason is HostReason.TARGET_DOWN:
+            self._judge_death(target)
+
+    def _judge_death(self, target: TargetReport | None) -> None:
+        """Record that ``target`` died if requests were lost with it."""
+        named = self._evidence.died()
+        if target is None or target.leaving or not named:
+            return
+        death = TargetDeath(target=target.target, born=target.born, fingerprints=named)
+        self._events.write("target_died", target=target.target, running=len(named))
+        self._crashes.record(death)
+        self._died(death)
+
     def _reply_of(self, result: HttpResponse | ExchangeFailed, ran: float) -> HostReply:
         if isinstance(result, ExchangeFailed):
             reason = _REASON_BY_FAILURE[result.reason]
--- a/src/cassiasail/_internal/coordination/permits.py
+++ b/src/cassiasail/_internal/coordination/permits.py
@@ -8,8 +8,8 @@
 from .. import invariants
 from ..ids import ServiceName, TargetId
 from ..state.fair_queue import QueuedCall
+from ..state.fingerprints import Fingerprint
 from ..state.refusals import Executed, Refusal, RefusalReason
-from .strikes import Fingerprint
 
 # Used when a target that sheds does not say how long.
 DEFAULT_RETRY_AFTER = 1.0  # seconds
--- a/src/cassiasail/_internal/coordination/quarantine.py
+++ b/src/cassiasail/_internal/coordination/quarantine.py
@@ -17,20 +17,19 @@
 only if the fingerprint came back after its suspicion and was struck again soon.
 """
 
-import hashlib
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from .. import metrics
 from ..clock import Clock
-from ..ids import CustomerId, TargetId
+from ..ids import TargetId
+from ..state.fingerprints import Fingerprint
 from ..state.refusals import Executed, Refusal, RefusalReason
 from .strikes import (
     MOMENT_SECONDS,
     QUARANTINE_SECONDS,
     Death,
-    Fingerprint,
     Moment,
     moments_of,
     quarantine_seconds,
@@ -38,7 +37,6 @@
     suspicion_seconds,
 )
 
-FINGERPRINT_BYTES = 16
 # A strike without other suspects is lifted after this many answers, so that a request
 # which is often alone on its target does not collect strikes of unrelated crashes.
 LIFT_ANSWERS = 10
@@ -52,18 +50,6 @@
 MAX_SEEN = 4096
 
 
-def fingerprint_of(
-    customer: CustomerId, method: str, path: str, body_digest: bytes
-) -> Fingerprint:
-    """Return the fingerprint of a request; ``path`` includes the query."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (customer.encode(), method.encode(), path.encode(), body_digest):
-        # The length keeps ("ab", "c") and ("a", "bc") apart.
-        digest.update(len(part).to_bytes(4, "big"))
-        digest.update(part)
-    return digest.digest()
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeathNotice:
     """A target process died with calls in flight.
--- a/src/cassiasail/_internal/coordination/strikes.py
+++ b/src/cassiasail/_internal/coordination/strikes.py
@@ -6,8 +6,7 @@
 from itertools import combinations, pairwise
 
 from ..ids import TargetId
-
-Fingerprint = bytes
+from ..state.fingerprints import Fingerprint
 
 SUSPECT_SECONDS = 2.0
 QUARANTINE_SECONDS = 600.0
--- a/src/cassiasail/_internal/coordination/target_process.py
+++ b/src/cassiasail/_internal/coordination/target_process.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from .strikes import Fingerprint
+from ..state.fingerprints import Fingerprint
 
 # Resets and refusals this far apart belong to one death: by then a restarted target
 # has announced itself.
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -19,7 +19,7 @@
 from ..events import EventLog
 from ..protocol.exchanges import ExchangeFailed, Exchanger
 from ..protocol.http1 import HttpRequest, HttpResponse
-from ..state.hosts import HostRecord, TargetState, encode_record
+from ..state.hosts import HostRecord, TargetDeath, TargetState, encode_record
 from ..state.mesh_config import MeshConfig, MeshService
 
 # A report may arrive seconds late; a daemon that runs for longer knows its target.
@@ -28,6 +28,9 @@
 HEALTH_SECONDS = 1.0
 # After a restart of everything the first report often comes before the configuration.
 CONFIG_POLL_SECONDS = 0.05
+# Deaths of targets kept in the record; others learn of each one within seconds, and a
+# daemon that starts needs the last ones only.
+MAX_DEATHS = 2
 # A target that misses this many reports in a row is taken for dead.
 MISSED_REPORTS = 4
 
@@ -60,6 +63,7 @@
         self._named: TargetReport | None = None
         self._published: tuple[Life, TargetState] | None = None
         self._stopping = False
+        self._deaths: tuple[TargetDeath, ...] = ()
         self._registration = TargetRegistration(
             address=str(settings.target),
             changed=self._target_changed,
@@ -88,8 +92,18 @@
 
     def recall(self, record: HostRecord) -> None:
         """Take over what a former life of this daemon has published."""
+        self._deaths = (*record.deaths, *self._deaths)[-MAX_DEATHS:]
         self._registration.recall(record)
 
+    def target_died(self, death: TargetDeath) -> None:
+        """Tell the others what a target of this VM ran when it died."""
+        self._deaths = (*self._deaths, death)[-MAX_DEATHS:]
+        current = self._registration.current
+        if current is not None and current.life == (death.target, death.born):
+            self._registration.lose()
+        else:
+            self._publish(self._registration.state)
+
     def suspend(self) -> None:
         """Tell the others not to use the target while this daemon is away."""
         self._stopping = True
@@ -177,6 +191,7 @@
             slots=named.slots,
             state=state,
             link_mbps=int(settings.link_mbps),
+            deaths=self._deaths,
         )
         # Newer than all that is stored: this daemon is the only writer of the record.
         self._fleet.update(record, sys.maxsize)
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -16,6 +16,7 @@
 from ..coordination.mesh import peers
 from ..coordination.mesh.balancing import Fleet, HostView
 from ..coordination.mesh.budget import RetryBudget
+from ..coordination.mesh.crashes import CrashHistory
 from ..coordination.mesh.entry import Entry
 from ..coordination.mesh.hosting import Host
 from ..coordination.mesh.probing import SuspectProber
@@ -84,8 +85,13 @@
         self._refusing = False
         self._build_pools()
         tables = TableStore(address=settings.store, pool=self._store_pool)
+        self._crashes = CrashHistory(events=events)
         self._host = Host(
-            pool=self._target_pool, codec=requests.TARGET_CODEC, events=events
+            pool=self._target_pool,
+            codec=requests.TARGET_CODEC,
+            crashes=self._crashes,
+            died=lambda death: self._target.target_died(death),
+            events=events,
         )
         self._fleet = Fleet(
             data_centre=settings.data_centre,
@@ -107,6 +113,7 @@
             budget=self._budget,
             ask=self._ask,
             suspect=self._prober.suspect,
+            crashes=self._crashes,
             events=events,
             random=self._random,
         )
@@ -155,6 +162,7 @@
             tables=tables,
             pool=self._peer_pool,
             fleet=self._fleet,
+            crashes=self._crashes,
             own_row=self._publisher.observe,
             former_record=self._target.recall,
             unreachable=self._peer_unreachable,
--- a/src/cassiasail/_internal/sidecar/store_view.py
+++ b/src/cassiasail/_internal/sidecar/store_view.py
@@ -6,6 +6,7 @@
 
 from ...platform import configuration
 from ..coordination.mesh.balancing import Fleet
+from ..coordination.mesh.crashes import CrashHistory
 from ..coordination.mesh.following import FollowTimes, TableFollower
 from ..coordination.mesh.shared_tables import SharedTables
 from ..events import EventLog
@@ -44,6 +45,7 @@
         tables: SharedTables,
         pool: Exchanger,
         fleet: Fleet,
+        crashes: CrashHistory,
         own_row: Callable[[StoredRow], None],
         former_record: Callable[[HostRecord], None],
         unreachable: Callable[[Address], None],
@@ -54,6 +56,7 @@
         self._tables = tables
         self._pool = pool
         self._fleet = fleet
+        self._crashes = crashes
         self._own_row = own_row
         self._former_record = former_record
         self._unreachable = unreachable
@@ -145,6 +148,8 @@
 
     def _host_row_changed(self, row: StoredRow) -> None:
         record = None if row.deleted else decode_record(row.key, row.value)
+        for death in record.deaths if record is not None else ():
+            self._crashes.record(death)
         if row.key == self._host:
             self._own_row(row)
             if record is not None and row.key not in self._fleet.view_by_host:
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -78,6 +78,7 @@
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
     PEER_MALFORMED = "peer_malformed"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/cassiasail/_internal/state/fingerprints.py
@@ -0,0 +1,19 @@
+"""Fingerprints that tell whether two requests are the same one sent again."""
+
+import hashlib
+
+Fingerprint = bytes
+
+FINGERPRINT_BYTES = 16
+
+
+def fingerprint_of(
+    sender: str, method: str, path: str, body_digest: bytes
+) -> Fingerprint:
+    """Return the fingerprint of a request; ``path`` includes the query."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (sender.encode(), method.encode(), path.encode(), body_digest):
+        # The length keeps ("ab", "c") and ("a", "bc") apart.
+        digest.update(len(part).to_bytes(4, "big"))
+        digest.update(part)
+    return digest.digest()
--- a/src/cassiasail/_internal/state/hosts.py
+++ b/src/cassiasail/_internal/state/hosts.py
@@ -10,6 +10,7 @@
 import cbor2
 
 from ..ids import DataCentre, Region, ServiceName, TargetId
+from .fingerprints import Fingerprint
 
 HostId = str
 
@@ -28,11 +29,21 @@
     ABSENT = "absent"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetDeath:
+    """A target process that died, and the requests that it ran then."""
+
+    target: TargetId
+    born: int
+    fingerprints: tuple[Fingerprint, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostRecord:
     """One VM: how its daemon is reached and which target it serves.
 
-    ``link_mbps`` is the rate of its link in Mbit/s.
+    ``link_mbps`` is the rate of its link in Mbit/s, ``deaths`` the last deaths of
+    its targets.
     """
 
     host: HostId
@@ -45,6 +56,7 @@
     slots: int
     state: TargetState
     link_mbps: int
+    deaths: tuple[TargetDeath, ...] = ()
 
 
 def encode_record(record: HostRecord) -> bytes:
@@ -60,6 +72,10 @@
             record.slots,
             record.state.value,
             record.link_mbps,
+            [
+                [death.target, death.born, list(death.fingerprints)]
+                for death in record.deaths
+            ],
         ]
     )
 
@@ -68,7 +84,8 @@
     """Return the record of ``host``, None if the bytes are not one."""
     try:
         fields = cbor2.loads(data)
-        address, data_centre, region, service, target, born, slots, state, link = fields
+        address, data_centre, region, service, target, born, *more = fields
+        slots, state, link, deaths = more
         texts = (address, data_centre, region, service, target)
         if not all(isinstance(text, str) for text in texts):
             return None
@@ -87,6 +104,19 @@
             slots=slots,
             state=TargetState(state),
             link_mbps=link,
+            deaths=tuple(_death(*each) for each in deaths),
         )
     except (cbor2.CBORDecodeError, TypeError, ValueError):
         return None
+
+
+def _death(target: object, born: object, fingerprints: object) -> TargetDeath:
+    if not isinstance(target, str) or not isinstance(born, int):
+        raise ValueError("a death needs the id and the start of a target")
+    if not isinstance(fingerprints, list):
+        raise ValueError("a death needs a list of fingerprints")
+    if not all(isinstance(each, bytes) for each in fingerprints):
+        raise ValueError("a fingerprint is not bytes")
+    return TargetDeath(
+        target=TargetId(target), born=born, fingerprints=tuple(fingerprints)
+    )
--- a/tests/unit/mesh/test_entry.py
+++ b/tests/unit/mesh/test_entry.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from random import Random
 
+import cbor2
 import pytest
 
 from cassiasail._internal.coordination.mesh.balancing import (
@@ -13,6 +14,7 @@
     HostView,
 )
 from cassiasail._internal.coordination.mesh.budget import RetryBudget
+from cassiasail._internal.coordination.mesh.crashes import CrashHistory, fingerprint
 from cassiasail._internal.coordination.mesh.entry import (
     Entry,
     FinalAnswer,
@@ -34,7 +36,13 @@
     MeshCall,
     TargetAnswer,
 )
-from cassiasail._internal.state.hosts import HostRecord, TargetState
+from cassiasail._internal.state.hosts import (
+    HostRecord,
+    TargetDeath,
+    TargetState,
+    decode_record,
+    encode_record,
+)
 from cassiasail._internal.state.mesh_config import (
     MeshRoute,
     Repeatable,
@@ -101,6 +109,7 @@
         self.hosted: list[HostedCall] = []
         self.route = route
         self.script = script
+        self.deaths: list[TargetDeath] = []
         self.records = [record("v" * number) for number in range(1, hosts + 1)]
 
     async def _ask(self, view: HostView, hosted: HostedCall) -> HostReply:
@@ -111,6 +120,12 @@
     def _suspect(self, view: HostView, reason: str) -> None:
         view.suspected = True
 
+    def _crashes(self) -> CrashHistory:
+        crashes = CrashHistory(events=silent_events())
+        for death in self.deaths:
+            crashes.record(death)
+        return crashes
+
     def run(self, *, path: bytes = b"/a/x", slack: float = 100) -> FinalAnswer:
         async def main() -> FinalAnswer:
             config = config_of(self.route)
@@ -120,6 +135,7 @@
                 budget=RetryBudget(ratio=0.2, slack=slack, window=10),
                 ask=self._ask,
                 suspect=self._suspect,
+                crashes=self._crashes(),
                 events=silent_events(),
                 random=Random(1),
             )
@@ -324,3 +340,62 @@
     fleet = fleet_of(record("a"), record("bb"), record("ccc"))
     fleet.view_by_host["a"].suspected = True
     assert [each.host for each in fleet.relay_order("ccc").before] == ["10.0.0.2"]
+
+
+POISON = MeshCall(
+    attempt="other",
+    method=b"GET",
+    host="h",
+    target=b"/a/x",
+    headers=(),
+    body=b"",
+    caller=ONE,
+    arrived=0.0,
+    time_left=None,
+)
+
+
+def death(number: int) -> TargetDeath:
+    named = (fingerprint(POISON),)
+    return TargetDeath(target=TargetId(f"i-{number}"), born=1, fingerprints=named)
+
+
+def test_a_request_that_killed_three_targets_reaches_no_other() -> None:
+    """Guards against a crashing request that comes again at another daemon."""
+    trial = Trial(lambda host, number: ANSWERED)
+    trial.deaths = [death(number) for number in range(3)]
+    answer = trial.run()
+    assert isinstance(answer, NotRun)
+    assert answer.reason is HostReason.QUARANTINED
+    assert trial.asked == []
+
+
+@pytest.mark.parametrize("deaths", [[1, 2], [1, 1, 1]])
+def test_fewer_deaths_stop_no_request(deaths: list[int]) -> None:
+    """Guards against requests refused because targets died for other reasons."""
+    trial = Trial(lambda host, number: ANSWERED)
+    trial.deaths = [death(number) for number in deaths]
+    assert trial.run() == ANSWERED.answer
+
+
+def test_a_request_that_was_answered_is_cleared() -> None:
+    """Guards against a common request that is stopped after unrelated crashes."""
+
+    async def main() -> None:
+        crashes = CrashHistory(events=silent_events())
+        crashes.record(death(1))
+        crashes.record(death(2))
+        crashes.answered(POISON)
+        crashes.record(death(3))
+        assert not crashes.blocks(POISON)
+
+    asyncio.run(main())
+
+
+def test_the_record_of_a_vm_carries_the_deaths_of_its_targets() -> None:
+    """Guards against deaths that only one daemon knows."""
+    whole = replace(record("v"), deaths=(death(1), death(2)))
+    assert decode_record("v", encode_record(whole)) == whole
+    fields = cbor2.loads(encode_record(whole))
+    fields[-1] = [["i", 1, ["text"]]]
+    assert decode_record("v", cbor2.dumps(fields)) is None
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from cassiasail._internal.coordination.mesh.crashes import CrashHistory, fingerprint
 from cassiasail._internal.coordination.mesh.hosting import Host
 from cassiasail._internal.coordination.mesh.registration import TargetReport
 from cassiasail._internal.ids import ServiceName, TargetId
@@ -21,6 +22,7 @@
     HostReply,
     MeshCall,
 )
+from cassiasail._internal.state.hosts import TargetDeath
 from cassiasail.platform.requests import TARGET_CODEC
 from tests.lib.events import silent_events
 
@@ -85,10 +87,12 @@
         pass
 
 
-def host_of(pool: FakeTargetPool) -> Host:
+def host_of(pool: FakeTargetPool, deaths: list[TargetDeath] | None = None) -> Host:
     host = Host(
         pool=pool,  # type: ignore[arg-type]
         codec=TARGET_CODEC,
+        crashes=CrashHistory(events=silent_events()),
+        died=deaths.append if deaths is not None else lambda death: None,
         events=silent_events(),
     )
     host.set_target(REPORT)
@@ -232,3 +236,74 @@
     assert peer_calls.decode_reply(HttpResponse(status=200)) is None
     strange = HttpResponse(status=200, headers=((b"cs-reply", b"x,y,z"),))
     assert peer_calls.decode_reply(strange) is None
+
+
+LOST = ExchangeFailed(reason=FailureReason.RESET, sent=True)
+REFUSED = ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
+
+
+def test_a_target_that_dies_names_what_it_ran() -> None:
+    """Guards against a request that crashes targets and stays unknown."""
+
+    async def main() -> None:
+        pool, deaths = FakeTargetPool(answer=LOST, seconds=0), []
+        host = host_of(pool, deaths)
+        await host.run(SAFE)
+        assert deaths == []
+        pool.answer = REFUSED
+        await host.run(SAFE)
+        assert [death.target for death in deaths] == [REPORT.target]
+        assert deaths[0].fingerprints == (fingerprint(CALL),)
+
+    asyncio.run(main())
+
+
+def test_a_restarted_target_names_what_the_former_life_ran() -> None:
+    """Guards against a crash that nobody sees because no request came after it."""
+
+    async def main() -> None:
+        deaths: list[TargetDeath] = []
+        host = host_of(FakeTargetPool(answer=LOST, seconds=0), deaths)
+        await host.run(SAFE)
+        host.set_target(None)
+        host.set_target(replace(REPORT, born=2))
+        assert [death.born for death in deaths] == [REPORT.born]
+
+    asyncio.run(main())
+
+
+def test_a_target_that_answers_after_a_lost_connection_has_not_died() -> None:
+    """Guards against a request blamed for a death although its target went on."""
+
+    async def main() -> None:
+        pool, deaths = FakeTargetPool(answer=LOST, seconds=0.01), []
+        host = host_of(pool, deaths)
+        await host.run(SAFE)
+        pool.answer = OK
+        await host.run(SAFE)
+        host.set_target(replace(REPORT, born=2))
+        assert deaths == []
+
+    asyncio.run(main())
+
+
+def test_a_request_that_killed_three_targets_is_refused() -> None:
+    """Guards against a request that kills one target after the other."""
+
+    async def main() -> None:
+        pool = FakeTargetPool()
+        host = host_of(pool)
+        for number in range(3):
+            host._crashes.record(
+                TargetDeath(
+                    target=TargetId(f"i-{number}"),
+                    born=1,
+                    fingerprints=(fingerprint(CALL),),
+                )
+            )
+        reply = await host.run(SAFE)
+        assert reply.outcome is HostOutcome.REFUSED
+        assert reply.reason is HostReason.QUARANTINED
+        assert pool.requests == []
+
+    asyncio.run(main())
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -11,9 +11,9 @@
     LiftNotice,
     Notice,
     Quarantine,
-    fingerprint_of,
 )
 from cassiasail._internal.ids import CustomerId, TargetId
+from cassiasail._internal.state.fingerprints import fingerprint_of
 from cassiasail._internal.state.refusals import Refusal, RefusalReason
 from devtools.hosting_model import HostingModel, PoisonCaller
 from tests.lib.clocks import VirtualClock
