--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -34,6 +34,11 @@
         weight = max(SAMPLE_WEIGHT, 1 / self._samples)
         self.seconds += weight * (seconds - self.seconds)
 
+    def add_if_longer(self, seconds: float) -> None:
+        """Record a request that was given up after ``seconds`` of unknown many."""
+        if seconds > self.seconds:
+            self.add(seconds)
+
 
 @dataclass(order=True, slots=True)
 class _Waiting:
--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -97,6 +97,7 @@
     """A chosen VM and what was expected of it; times in seconds."""
 
     view: HostView
+    wait: float
     seconds: float
     cost: float
 
@@ -241,6 +242,15 @@
             view.slowness += SAMPLE_WEIGHT * (ran / usual.seconds - view.slowness)
         view.suspected = False
 
+    def overdue(self, view: HostView, route: str, running: float) -> None:
+        """Record that a request on ``route`` has no answer after ``running`` seconds.
+
+        Its try may be given up, and then its time is never known.
+        """
+        usual = self.expected_seconds(route)
+        if usual > 0:
+            view.slowness += SAMPLE_WEIGHT * max(0.0, running / usual - view.slowness)
+
     def reported(self, view: HostView, load: HostLoad) -> None:
         """Take over the load that a VM reports."""
         view.load = load
@@ -274,7 +284,7 @@
             + LATENCY_COST * min(used, 10.0)
             + FAILURE_COST * failing
         )
-        return Choice(view=view, seconds=seconds, cost=cost)
+        return Choice(view=view, wait=wait, seconds=seconds, cost=cost)
 
     def _cheapest(self, choices: Iterable[Choice]) -> Choice | None:
         ranked = sorted(choices, key=lambda choice: choice.cost)
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -270,13 +270,19 @@
             echoed = self._codec.attempt_of(response)
             return echoed is None or not call.attempt or echoed == call.attempt
 
-        result = await self._pool.exchange(
-            address,
-            self._codec.encode(call, target.target, left),
-            timeout=left + ANSWER_MARGIN_SECONDS,
-            accept=is_own,
-            max_idle=None if hosted.safe else UNSAFE_IDLE_SECONDS,
-        )
+        try:
+            result = await self._pool.exchange(
+                address,
+                self._codec.encode(call, target.target, left),
+                timeout=left + ANSWER_MARGIN_SECONDS,
+                accept=is_own,
+                max_idle=None if hosted.safe else UNSAFE_IDLE_SECONDS,
+            )
+        except asyncio.CancelledError:
+            # Given up because it took too long: without it the target seems faster
+            # than it is.
+            admission.service_time.add_if_longer(self._loop.time() - started)
+            raise
         ran = self._loop.time() - started
         metrics.MESH_TRY_SECONDS.labels(hosted.service).observe(ran)
         reply = self._reply_of(result, ran)
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -56,8 +56,9 @@
 STORE_SILENCE_SECONDS = 1.0
 # Calls that wait for changes follow each other closely; an older connection is spare.
 STORE_IDLE_SECONDS = 5.0
-# The daemon exits this long before it would be killed, even with requests in flight.
-KILL_MARGIN_SECONDS = 0.25
+# The daemon stops this long before it would be killed, even with requests in flight:
+# on a VM with 0.4 cores the end of the process itself takes up to 0.3 s.
+KILL_MARGIN_SECONDS = 0.5
 # Clients learn of the end from two missed questions, one a second; until then they may
 # still connect. Whoever comes later could not be served to the end.
 LINGER_SECONDS = 2.6
