--- a/src/cassiasail/_internal/coordination/mesh/hedging.py
+++ b/src/cassiasail/_internal/coordination/mesh/hedging.py
@@ -1,8 +1,8 @@
 """A second copy of a safe request whose first one takes unusually long.
 
 A target that has turned slow, or that ran a request and lost its answer, would
-otherwise keep a request until its time is over. The copy is sent only where a slot is free, so
-that it takes none from another request, and it spends the retry budget.
+otherwise keep a request until its time is over. The copy is sent only where a slot is
+free, so that it takes none from another request, and it spends the retry budget.
 """
 
 import asyncio
--- a/tests/unit/mesh/test_hedging.py
+++ b/tests/unit/mesh/test_hedging.py
@@ -53,7 +53,8 @@
         self.cancelled: list[str] = []
 
     async def _ask(self, view: HostView, hosted: HostedCall) -> HostReply:
-        number = len(self.asked)
+        # Further asks go like the last one.
+        number = min(len(self.asked), len(self.seconds) - 1)
         self.asked.append(view.record.host)
         try:
             await asyncio.sleep(self.seconds[number])
