A call that killed its target is not sent on before the death is known

Cause: the promise of test_crash.py (two targets at most) failed beside load. The daemon beside the first target answered while it was still probing the port, and the entry daemon sent the call to the next target without asking its quarantine again. Change: the answer waits for the probe, 0.25 s at most; the router asks the quarantine before each further try.

--- a/src/cassiasail/_internal/coordination/router.py
+++ b/src/cassiasail/_internal/coordination/router.py
@@ -271,6 +271,9 @@
             if isinstance(decision, Denied):
                 return attempts.final(result)
             await self._clock.sleep(decision.seconds)
+            # The target may have died of this call.
+            if self._quarantine.check(routed.fingerprint) is not None:
+                return attempts.final(result)
 
     async def _attempt(self, attempts: Attempts) -> Answer | Refusal:
         routed = attempts.routed
--- a/src/cassiasail/_internal/transport/hosted_calls.py
+++ b/src/cassiasail/_internal/transport/hosted_calls.py
@@ -30,6 +30,9 @@
 from ..state.targets import LoadReport
 from .target_http import TargetClient, TargetFailure
 
+# A port on the own VM accepts or refuses a connection within microseconds; a busy VM
+# may take longer to run the daemon and the target.
+PROBE_SECONDS = 0.25
 # Targets that one daemon accepts; one VM runs one target, or two during a rollout.
 MAX_TARGETS = 8
 _OUTCOME_BY_END = {
@@ -70,7 +73,7 @@
         self._ip = ip
         self._queue_capacity = queue_capacity
         self._local_by_id: dict[TargetId, _LocalTarget] = {}
-        self._probes: set[asyncio.Task[None]] = set()
+        self._probe_by_target: dict[TargetId, asyncio.Task[None]] = {}
         self._leaving = False
 
     def announce(self, target: str, body: dict[str, Any]) -> Refusal | None:
@@ -167,9 +170,17 @@
                 del self._local_by_id[name]
 
     def _start_probe(self, name: TargetId) -> None:
+        if name in self._probe_by_target:
+            return
         task = asyncio.create_task(self._probe(name))
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
+        self._probe_by_target[name] = task
+        task.add_done_callback(lambda _: self._probe_by_target.pop(name, None))
+
+    async def _probed(self, name: TargetId) -> None:
+        """Wait for a probe of a target that is in progress, a short time at most."""
+        probe = self._probe_by_target.get(name)
+        if probe is not None:
+            await asyncio.wait({probe}, timeout=PROBE_SECONDS)
 
     async def _probe(self, name: TargetId) -> None:
         local = self._local_by_id.get(name)
@@ -201,6 +212,9 @@
         answer = await self._client.send(local.address, head, body, remaining)
         if isinstance(answer, TargetFailure):
             permit.finished(answer.outcome)
+            # Otherwise the entry daemon sends the call to the next target before it
+            # can hear that this one has died of it.
+            await self._probed(TargetId(head.target))
             return answer.refusal
         outcome, retry_after = _outcome_of(answer)
 
