Remove the records of VMs that are gone for good

Cause: the record of each VM that was ever replaced stayed in the store, and every daemon reads all of them at its start. Change: the first relay of a data centre asks the VMs there that have no usable target or are under suspicion, and removes the record of one that was silent for a minute. A daemon that reaches nobody removes nothing; a VM that was only cut off writes its record again.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -173,6 +173,14 @@
             if record.service == service and record.state is TargetState.READY:
                 yield view
 
+    def trusted_hosts(self) -> frozenset[HostId]:
+        """Return the VMs that have a target and are not under suspicion."""
+        return frozenset(
+            host
+            for host, view in self.view_by_host.items()
+            if view.record.state is TargetState.READY and not view.suspected
+        )
+
     def relay_order(self) -> PeerOrder:
         """Return whom to ask for tables of the store, in the order of this VM.
 
--- a/src/cassiasail/_internal/coordination/mesh/probing.py
+++ b/src/cassiasail/_internal/coordination/mesh/probing.py
@@ -22,7 +22,7 @@
 JITTER = 0.7
 PROBE_SECONDS = 0.5
 # Names no table: the answer of any kind shows that the daemon serves.
-_PROBE = table_sync.encode_query(SyncQuery(table="", after=0, wait=0.0))
+PROBE = table_sync.encode_query(SyncQuery(table="", after=0, wait=0.0))
 
 
 class SuspectProber:
@@ -56,7 +56,7 @@
         while view.suspected and not view.removed:
             await asyncio.sleep(backoff.pause(longest=MAX_PAUSE_SECONDS))
             result = await self._pool.exchange(
-                view.address, _PROBE, timeout=PROBE_SECONDS
+                view.address, PROBE, timeout=PROBE_SECONDS
             )
             if not isinstance(result, ExchangeFailed):
                 view.suspected = False
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -20,6 +20,7 @@
 from ..coordination.mesh.entry import Entry
 from ..coordination.mesh.hosting import Host
 from ..coordination.mesh.probing import SuspectProber
+from ..coordination.mesh.pruning import RecordPruner
 from ..coordination.mesh.publishing import RecordPublisher
 from ..events import EventLog
 from ..protocol import peer_calls, table_sync
@@ -150,6 +151,13 @@
             events=self._events,
             random=self._random,
         )
+        self._pruner = RecordPruner(
+            fleet=self._fleet,
+            tables=tables,
+            table=HOSTS_TABLE,
+            pool=self._peer_pool,
+            events=self._events,
+        )
         self._target = OwnTarget(
             settings=settings,
             config=lambda: self._view.config,
@@ -207,7 +215,12 @@
             await server.start(address.host, address.port)
         self._tasks = [
             asyncio.create_task(self._keep_running(work))
-            for work in (self._view.run, self._publisher.run, self._target.watch)
+            for work in (
+                self._view.run,
+                self._publisher.run,
+                self._target.watch,
+                self._pruner.run,
+            )
         ]
         self._events.write(
             "started",
