--- a/tests/lib/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -18,7 +18,7 @@
 from cassiasail._internal.transport.http1.pool import ConnectionPool
 
 HOST = "127.0.0.1"
-REPO = Path(__file__).resolve().parents[2]
+REPO = Path(__file__).resolve().parents[1]
 LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 1 << 20,
@@ -66,12 +66,19 @@
 
 
 class PlatformStore:
-    """The platform's table store in memory; ``down`` makes all calls fail."""
+    """The platform's table store in memory.
+
+    ``down`` makes all calls fail, ``delay`` answers them some seconds late, and
+    ``loses_answers`` performs writes and then closes the connection.
+    """
 
     def __init__(self) -> None:
         self.row_by_id: dict[tuple[str, str], dict[str, Any]] = {}
         self.version = 0
         self.down = False
+        self.delay = 0.0
+        self.loses_answers = False
+        self._forgotten = 0
         self.address = Address(HOST, free_port())
         self._runner: web.AppRunner | None = None
 
@@ -85,6 +92,10 @@
             "ver": self.version,
         }
 
+    def forget_history(self) -> None:
+        """Have followers read the tables anew."""
+        self._forgotten = self.version
+
     async def start(self) -> None:
         app = web.Application()
         app.router.add_post("/v1/rows-tx", self._transact)
@@ -110,6 +121,7 @@
         )
 
     async def _read(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(self.delay)
         if self.down:
             return web.Response(status=503)
         return self._page(self._rows(request.query["table"], 0))
@@ -121,12 +133,16 @@
         while True:
             if self.down:
                 return web.Response(status=503)
+            if int(request.query["after"]) < self._forgotten:
+                return web.Response(status=410)
             rows = self._rows(request.query["table"], int(request.query["after"]))
             if rows or asyncio.get_running_loop().time() >= ends:
+                await asyncio.sleep(self.delay)
                 return self._page(rows)
             await asyncio.sleep(0.01)
 
     async def _transact(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(self.delay)
         if self.down:
             return web.Response(status=503)
         body = await request.json()
@@ -140,6 +156,8 @@
             return web.json_response({"rows": rows, "ver": self.version}, status=412)
         for write in body["writes"]:
             self.put(write["table"], write["key"], base64.b64decode(write["value"]))
+        if self.loses_answers and request.transport is not None:
+            request.transport.close()
         return web.json_response({"ver": self.version, "nowMs": 1})
 
 
@@ -153,6 +171,7 @@
         self.name = name
         self.service = service
         self.store = store
+        self.store_address = store.address
         self.target_id = f"i-{name}"
         self.born = 1
         self.sequence = 0
@@ -176,9 +195,11 @@
     async def start_target(self) -> None:
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._serve)
-        self._runner = web.AppRunner(app)
+        # A target that ends does not wait for its requests.
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, *self.address_by_use["target"]).start()
+        port = self.address_by_use["target"].port
+        await web.TCPSite(self._runner, HOST, port).start()
         self._reports = asyncio.create_task(self._report())
 
     def write_settings(self, directory: Path) -> Path:
@@ -209,6 +230,13 @@
         if self._reports is not None:
             self._reports.cancel()
 
+    async def stop_target(self) -> None:
+        """End the target; the connections of its requests are lost."""
+        self.stop_reports()
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
     async def stop(self) -> None:
         self.stop_reports()
         if self.process is not None and self.process.returncode is None:
@@ -351,7 +379,7 @@
 [platform]
 heartbeatMs = 200
 [platform.platform]
-address = "{self.store.address}"
+address = "{self.store_address}"
 [terms.bounds]
 drainMs = 2000
 graceS = 6
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -212,7 +212,7 @@
             (self._peers_server, settings.peers),
             (self._clients_server, settings.clients),
         ):
-            await server.start(address.host, address.port)
+            await server.start(settings.address, address.port)
         self._tasks = [
             asyncio.create_task(self._keep_running(work))
             for work in (
--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -11,7 +11,7 @@
 
 from cassiasail._internal.protocol.exchanges import ExchangeFailed
 from cassiasail._internal.protocol.http1 import HttpResponse
-from tests.lib.platform_stand_in import (
+from devtools.platform_stand_in import (
     PlatformStore,
     Sidecar,
     configuration,
