Drop copies of slow requests; let distance weigh as much as its bytes cost

What takes long takes long at every target, so a copy serves hardly anybody; removed. The costs of distance were below what both users pay for the bytes.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -16,13 +16,14 @@
 from ...protocol.exchanges import Address, parse_address
 from ...state.calls import HostLoad
 from ...state.hosts import HostId, HostRecord, TargetState
-from .admission import FIRST_SECONDS, SAMPLE_WEIGHT, RunningMean
+from .admission import FIRST_SECONDS, RunningMean
 from .following import PeerOrder
 
 # Bytes between data centres are paid for by volume, and those between regions share
-# one slow link; an answer that would be late weighs more than either.
-CROSS_DATA_CENTRE_COST = 0.3
-CROSS_REGION_COST = 0.4
+# one slow link. For both users a request and its answer, about 6 KB, cost about half of
+# what a late answer does.
+CROSS_DATA_CENTRE_COST = 0.6
+CROSS_REGION_COST = 0.6
 LATE_COST = 1.0
 FAILURE_COST = 1.5
 # Service times spread like a log-normal distribution; the users' sheets have a spread
@@ -97,7 +98,6 @@
     """A chosen VM and what was expected of it; times in seconds."""
 
     view: HostView
-    wait: float
     seconds: float
     cost: float
 
@@ -249,15 +249,6 @@
         self._time_by_route.setdefault(route, RunningMean()).add(ran)
         view.suspected = False
 
-    def overdue(self, view: HostView, route: str, running: float) -> None:
-        """Record that a request on ``route`` has no answer after ``running`` seconds.
-
-        Its try may be given up, and then its time is never known.
-        """
-        usual = self.expected_seconds(route)
-        if usual > 0:
-            view.slowness += SAMPLE_WEIGHT * max(0.0, running / usual - view.slowness)
-
     def reported(self, view: HostView, route: str, load: HostLoad) -> None:
         """Take over the load that a VM reports with a reply on ``route``.
 
@@ -297,7 +288,7 @@
             + LATENCY_COST * min((wait + seconds) / max(aim.left, 1e-3), 1.0)
             + FAILURE_COST * max(failing, unfinished)
         )
-        return Choice(view=view, wait=wait, seconds=seconds, cost=cost)
+        return Choice(view=view, seconds=seconds, cost=cost)
 
     def _cheapest(self, choices: Iterable[Choice]) -> Choice | None:
         ranked = sorted(choices, key=lambda choice: choice.cost)
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -23,11 +23,9 @@
 )
 from ...state.hosts import HostId
 from ...state.mesh_config import MeshConfig, MeshRoute, Repeatable, SplitState
-from . import hedging
 from .balancing import Choice, Fleet, HostView
 from .budget import RetryBudget
 from .crashes import CrashHistory
-from .hedging import Tried
 
 # VMs asked for one request; each refusal costs a round trip.
 MAX_ASKS = 8
@@ -190,10 +188,10 @@
                 if await self._wait_for_target(progress):
                     continue
                 return self._give_up(progress)
-            tried = await self._try_hedged(call, progress, choice, left)
-            answer = self._judge(progress, tried.view, tried.reply)
+            reply = await self._try(call, progress, choice, left)
+            answer = self._judge(progress, choice.view, reply)
             if answer is not None:
-                if tried.reply.outcome is HostOutcome.ANSWERED:
+                if reply.outcome is HostOutcome.ANSWERED:
                     self._crashes.answered(call)
                 return answer
 
@@ -227,59 +225,9 @@
                 return True
         return False
 
-    async def _try_hedged(
-        self, call: MeshCall, progress: _Progress, choice: Choice, left: float
-    ) -> Tried:
-        """Ask the VM of ``choice``, and another one too if that takes very long."""
-        if not self._may_hedge(progress):
-            return await self._try(call, progress, choice, left)
-        asked = self._loop.time()
-        first = self._loop.create_task(self._try(call, progress, choice, left))
-        if await hedging.until(first, hedging.delay_of(choice)):
-            return first.result()
-        other = self._choose_copy(progress, choice)
-        if other is None:
-            return await first
-        now = self._loop.time()
-        self._fleet.overdue(choice.view, progress.route.name, now - asked)
-        copy = self._try(call, progress, other, progress.ends - now)
-        chosen, *rest = await hedging.race(first, copy)
-        metrics.MESH_HEDGES.labels(
-            progress.service, "first" if chosen.view is choice.view else "copy"
-        ).inc()
-        for tried in rest:
-            progress.excluded.add(tried.view.record.host)
-            progress.offered += tried.reply.outcome is not HostOutcome.REFUSED
-        return chosen
-
-    def _may_hedge(self, progress: _Progress) -> bool:
-        safe = progress.route.repeatable is Repeatable.SAFE
-        return safe and progress.route.attempts - progress.offered > 1
-
-    def _choose_copy(self, progress: _Progress, first: Choice) -> Choice | None:
-        """Return where a copy of the request runs at once, None if nowhere."""
-        now = self._loop.time()
-        other = self._fleet.choose(
-            progress.service,
-            route=progress.route.name,
-            objective=progress.objective_ends - now,
-            left=progress.ends - now,
-            excluded=progress.excluded | {first.view.record.host},
-        )
-        if other is None or other.wait > hedging.FREE_SLOT_SECONDS:
-            return None
-        if progress.ends - now < other.seconds or other.view.suspected:
-            return None
-        daemons = len(self._fleet.view_by_host)
-        left = self._budget.left(progress.service, daemons)
-        if left < hedging.BUDGET_RESERVE:
-            return None
-        self._budget.take(progress.service, daemons)
-        return other
-
     async def _try(
         self, call: MeshCall, progress: _Progress, choice: Choice, left: float
-    ) -> Tried:
+    ) -> HostReply:
         view, route = choice.view, progress.route
         limit = left - choice.seconds
         if progress.late:
@@ -310,7 +258,7 @@
             progress.service, reply.outcome.value, reply.reason.value
         ).inc()
         progress.tries.append(f"{view.record.host}:{_said(reply)}")
-        return Tried(view=view, reply=reply)
+        return reply
 
     def _judge(
         self, progress: _Progress, view: HostView, reply: HostReply
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -146,12 +146,6 @@
     ["service", "outcome", "reason"],
     registry=REGISTRY,
 )
-MESH_HEDGES = Counter(
-    "cassiasail_mesh_hedges",
-    "Second copies of safe requests that took very long, by service and who answered.",
-    ["service", "answered"],
-    registry=REGISTRY,
-)
 MESH_TRY_SECONDS = Histogram(
     "cassiasail_mesh_try_seconds",
     "Time that the target beside this daemon took for a request.",
