--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 LAYOUT ?= utility
 
-.PHONY: install test lint types unit known-red quickstart up bench bench-fleet fuzz
+.PHONY: install test lint types unit known-red quickstart up bench bench-fleet fuzz soak
 
 install: $(VENV)/.installed
 
@@ -54,3 +54,9 @@
 	$(BIN)/python -m devtools.fuzz_hosting --seed $(SEED) --steps $(STEPS)
 	$(BIN)/python -m devtools.fuzz_entry --seed $(SEED) --steps $(STEPS)
 	$(BIN)/python -m devtools.fuzz_fleet --seed $(SEED) --steps $(STEPS)
+
+RUNS ?= 1
+
+# Sidecars as real processes under random faults; each run takes about half a minute.
+soak: install
+	$(BIN)/python -m devtools.soak --seed $(SEED) --runs $(RUNS)
