The shortest request of one rank gets the next slot

A request whose time runs out is then served next to its limit, and late. Change: among requests of one rank that can still be in time, the one with the shortest mean service time of its route goes first: more of them fit.

--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -5,8 +5,8 @@
 is refused at once, while another target may still take it. Among requests of one rank,
 those that can still meet their latency objective go first: under overload the slots
 then serve answers that are in time, and not a queue in which all are late. Among these
-the one goes first that can wait the shortest time, so that a queue of requests which
-can wait does not make short ones late.
+the shortest goes first, so that as many as possible are served while there is no room
+for all.
 """
 
 import asyncio
@@ -46,8 +46,8 @@
 class _Waiting:
     rank: int
     late: bool
-    # Loop time in seconds at which the request stops to wait.
-    ends: float
+    seconds: float
+    number: int
     granted: "asyncio.Future[HostReason | None]" = field(compare=False)
 
 
@@ -64,6 +64,7 @@
         self.running = 0
         self.closed: HostReason | None = None
         self._waiting: list[_Waiting] = []
+        self._count = 0
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -71,21 +72,21 @@
         """Number of requests that wait for a slot."""
         return len(self._waiting)
 
-    def expected_wait(self, rank: int, late: bool, max_wait: float) -> float:
+    def expected_wait(self, rank: int, late: bool, seconds: float) -> float:
         """Return the seconds that a request would wait now."""
         if self.running < self.slots and not self._waiting:
             return 0.0
-        place = (rank, late, self._loop.time() + max_wait)
+        place = (rank, late, seconds)
         before = sum(
-            (each.rank, each.late, each.ends) <= place for each in self._waiting
+            (each.rank, each.late, each.seconds) <= place for each in self._waiting
         )
         excess = max(0, self.running - self.slots)
         return (before + excess + 1) * self.service_time.seconds / self.slots
 
     async def enter(
-        self, *, rank: int, late: bool, max_wait: float
+        self, *, rank: int, late: bool, max_wait: float, seconds: float = 0.0
     ) -> HostReason | None:
-        """Wait at most ``max_wait`` seconds for a slot."""
+        """Wait at most ``max_wait`` seconds for a slot to use for ``seconds``."""
         if self.closed is not None:
             return self.closed
         if self.running < self.slots and not self._waiting:
@@ -93,9 +94,9 @@
             return None
         if len(self._waiting) >= MAX_WAITING_PER_SLOT * self.slots:
             return HostReason.BUSY
-        if self.expected_wait(rank, late, max_wait) > max_wait:
+        if self.expected_wait(rank, late, seconds) > max_wait:
             return HostReason.BUSY
-        return await self._wait(rank, late, max_wait)
+        return await self._wait(rank, late, seconds, max_wait)
 
     def leave(self) -> None:
         """Give a slot back."""
@@ -115,9 +116,12 @@
         self.slots = slots
         self._grant()
 
-    async def _wait(self, rank: int, late: bool, max_wait: float) -> HostReason | None:
-        ends = self._loop.time() + max_wait
-        entry = _Waiting(rank, late, ends, self._loop.create_future())
+    async def _wait(
+        self, rank: int, late: bool, seconds: float, max_wait: float
+    ) -> HostReason | None:
+        self._count += 1
+        future = self._loop.create_future()
+        entry = _Waiting(rank, late, seconds, self._count, future)
         heapq.heappush(self._waiting, entry)
         timer = self._loop.call_later(max_wait, self._expire, entry)
         try:
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -238,7 +238,10 @@
         admission = self._admission
         arrived = self._loop.time()
         refusal = await admission.enter(
-            rank=hosted.rank, late=hosted.late, max_wait=hosted.max_wait
+            rank=hosted.rank,
+            late=hosted.late,
+            max_wait=hosted.max_wait,
+            seconds=self._time_of(hosted.route).seconds,
         )
         if refusal is not None:
             return _refused(refusal)
