One module for background tasks; ports of the soak outside of the ephemeral range

Cause: supervised background tasks stood three times, in two forms, and a failed question to the target was not reported. A daemon of the soak did not start because an outgoing connection had taken its port.

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -18,6 +19,7 @@
 from cassiasail._internal.transport.http1.pool import ConnectionPool
 
 HOST = "127.0.0.1"
+PORT_RANGE = (10000, 30000)
 REPO = Path(__file__).resolve().parents[1]
 LIMITS = {
     "maxHeaderBytes": 16384,
@@ -28,10 +30,19 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port of the loopback address that is free now.
+
+    It lies below the range from which the system takes ports for outgoing
+    connections, so that none of these gets it before it is used.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue  # Taken by another program.
+        return port
 
 
 def route(service: str, **more: Any) -> dict[str, Any]:
--- a/src/cassiasail/_internal/runtime.py
+++ b/src/cassiasail/_internal/runtime.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
 from typing import Any
 
 from absl import logging
@@ -10,6 +9,7 @@
 
 from ..exceptions import ProtocolError
 from . import metrics
+from .background import BackgroundTasks
 from .clock import Clock, SystemClock
 from .coordination.claims import Claims
 from .coordination.control import ControlPlane
@@ -82,8 +82,7 @@
         self._build_quotas(incarnation)
         self._build_calls()
         self._endpoint_by_target: dict[TargetId, Endpoint] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._running_by_name: dict[str, asyncio.Task[None]] = {}
+        self._background = BackgroundTasks(failed=self._background_failed)
         self._ticks = 0
         self._stopped = False
         self._listener: Server | None = None
@@ -100,7 +99,7 @@
         await self.admin.start(settings.admin_address)
         await self.entry.start(settings.http_address)
         asyncio.get_running_loop().call_later(TICK, self._tick)
-        self._spawn(self._sweep_claims())
+        self._background.start(self._sweep_claims())
         logging.info("daemon %s started", self.me)
 
     async def drain(self) -> None:
@@ -124,8 +123,7 @@
     async def stop(self) -> None:
         """Close everything."""
         self._stopped = True
-        for task in list(self._tasks):
-            task.cancel()
+        self._background.cancel()
         await self.entry.close()
         await self.pool.close()
         await self.links.close()
@@ -294,19 +292,11 @@
             cut_link=self.region_link.set_cut if self.region_link.active else None,
         )
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_end)
-        return task
-
-    def _on_task_end(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            # A daemon without one of its loops would decay silently; a restart is
-            # the safe state.
-            logging.error("background task failed", exc_info=task.exception())
-            self._fail()
+    def _background_failed(self, error: BaseException) -> None:
+        # A daemon without one of its loops would decay silently; a restart is the
+        # safe state.
+        logging.error("background task failed", exc_info=error)
+        self._fail()
 
     def _fail(self) -> None:
         self.failed = True
@@ -335,18 +325,11 @@
         self.version_times.note()
         self._ticks += 1
         if self._ticks % POLL_TICKS == 0 and self.control.attachment.is_poller:
-            self._start_once("poll", self._poll_store)
+            self._background.start_once("poll", self._poll_store)
         if self._ticks % SLOW_TICKS == 0:
-            self._start_once("directory", self.control.maintain_directory_once)
-            self._start_once("leases", self.leases.run_once)
-
-    def _start_once(
-        self, name: str, work: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Start ``work``, which may wait for the store, unless it still runs."""
-        running = self._running_by_name.get(name)
-        if running is None or running.done():
-            self._running_by_name[name] = self._spawn(work())
+            start = self._background.start_once
+            start("directory", self.control.maintain_directory_once)
+            start("leases", self.leases.run_once)
 
     async def _poll_store(self) -> None:
         await self.control.poll_store_once()
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -1,12 +1,13 @@
 """The target beside this daemon: its reports, its health and its published record."""
 
 import asyncio
+import logging
 import sys
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from ...platform import health, reports
 from ...platform.settings import SidecarSettings
+from ..background import BackgroundTasks
 from ..coordination.mesh.balancing import Fleet
 from ..coordination.mesh.hosting import Host
 from ..coordination.mesh.publishing import RecordPublisher
@@ -22,6 +23,8 @@
 from ..state.hosts import HostRecord, TargetDeath, TargetState, encode_record
 from ..state.mesh_config import MeshConfig, MeshService
 
+logger = logging.getLogger(__name__)
+
 # A report may arrive seconds late; a daemon that runs for longer knows its target.
 OLD_REPORTS_SECONDS = 15.0
 # A health check waits for a slot like any request.
@@ -61,7 +64,7 @@
         self._events = events
         self._loop = asyncio.get_running_loop()
         self._started_at = self._last_report = self._loop.time()
-        self._background_tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(failed=self._background_failed)
         # The target that was reported last, also after it is gone.
         self._named: TargetReport | None = None
         self._published: tuple[Life, TargetState] | None = None
@@ -86,7 +89,7 @@
             if report.address == str(self._settings.target):
                 self._last_report = self._loop.time()
         if isinstance(report, TargetReport) and verdict is ReportVerdict.UNCONFIRMED:
-            self._background(self._ask_target(report))
+            self._background.start(self._ask_target(report))
         elif verdict is ReportVerdict.TAKEN:
             if self._registration.state is not TargetState.READY:
                 await self._publisher.settle(ACKNOWLEDGE_SECONDS)
@@ -101,7 +104,7 @@
         self._deaths = (*record.deaths, *self._deaths)[-MAX_DEATHS:]
         report = self._registration.recall(record)
         if report is not None:
-            self._background(self._ask_target(report))
+            self._background.start(self._ask_target(report))
 
     def target_died(self, death: TargetDeath) -> None:
         """Tell the others what a target of this VM ran when it died."""
@@ -166,11 +169,9 @@
             await asyncio.sleep(CONFIG_POLL_SECONDS)
         return None
 
-    def _background(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        # The loop itself keeps only a weak reference.
-        self._background_tasks.add(task)
-        task.add_done_callback(self._background_tasks.discard)
+    def _background_failed(self, error: BaseException) -> None:
+        logger.error("a question to the target failed", exc_info=error)
+        self._events.write("background_failed", work="ask_target")
 
     def _target_changed(self, report: TargetReport | None) -> None:
         self._host.set_target(report)
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -13,6 +13,7 @@
 from ...platform.settings import SidecarSettings
 from ...platform.table_store import TableStore
 from .. import metrics
+from ..background import BackgroundTasks
 from ..coordination.mesh import peers
 from ..coordination.mesh.balancing import Fleet, HostView
 from ..coordination.mesh.budget import RetryBudget
@@ -123,7 +124,7 @@
         )
         self._build_beliefs(tables)
         self._build_servers()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = BackgroundTasks(failed=self._background_failed)
 
     def _build_pools(self) -> None:
         self._peer_pool = ConnectionPool(
@@ -213,15 +214,13 @@
             (self._clients_server, settings.clients),
         ):
             await server.start(settings.address, address.port)
-        self._tasks = [
-            asyncio.create_task(self._keep_running(work))
-            for work in (
-                self._view.run,
-                self._publisher.run,
-                self._target.watch,
-                self._pruner.run,
-            )
-        ]
+        for work in (
+            self._view.run,
+            self._publisher.run,
+            self._target.watch,
+            self._pruner.run,
+        ):
+            self._background.start(self._keep_running(work))
         self._events.write(
             "started",
             host=settings.host,
@@ -252,8 +251,7 @@
         )
         for server in (self._clients_server, self._peers_server):
             await server.stop()
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
         self._prober.stop()
         # What was written last needs a moment to leave.
         await asyncio.sleep(POLL_SECONDS)
@@ -270,6 +268,10 @@
         )
         self._events.write("reloaded", service=settings.service)
 
+    def _background_failed(self, error: BaseException) -> None:
+        logger.error("background work ended", exc_info=error)
+        self._events.write("background_failed", work="keep_running")
+
     async def _keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
         """Run background work until cancelled; a fault in it must not stay unseen."""
         while True:
