--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -5,7 +5,6 @@
 import sys
 import tempfile
 from pathlib import Path
-from random import Random
 
 import fire
 
@@ -27,13 +26,13 @@
     running: set[asyncio.Task[None]] = set()
     drawn: list[str] = []
     while loop.time() < ends:
-        await asyncio.sleep(world.random.uniform(0, GAP_SECONDS))
+        await asyncio.sleep(world.fault_random.uniform(0, GAP_SECONDS))
         running = {task for task in running if not task.done()}
         idle = [vm for vm in world.vms if not vm.busy]
         if len(running) >= MAX_OVERLAPPING or not idle:
             continue
-        vm, fault = world.random.choice(idle), world.random.choice(FAULTS)
-        length = world.random.uniform(0.3, 3.0)
+        vm, fault = world.fault_random.choice(idle), world.fault_random.choice(FAULTS)
+        length = world.fault_random.uniform(0.3, 3.0)
         drawn.append(f"{fault.__name__} {vm.name} {length:.1f}")
         running.add(asyncio.create_task(_run(world, vm, fault, length)))
     if running:
@@ -52,7 +51,7 @@
 async def soak(seed: int, seconds: float, vms: int) -> list[str]:
     """Run one soak and return the broken promises."""
     with tempfile.TemporaryDirectory(prefix="cassiasail-soak-") as directory:
-        world = SoakWorld(vms=vms, random=Random(seed), directory=Path(directory))
+        world = SoakWorld(vms=vms, seed=seed, directory=Path(directory))
         try:
             await world.start()
             drawn = await _inject(world, seconds)
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -20,6 +20,8 @@
     Link.SILENT,
 )
 
+BEHAVIOURS = ("slow", "fails", "loses", "truncates")
+
 Fault = Callable[[SoakWorld, SoakVm, float], Awaitable[None]]
 
 
@@ -56,6 +58,7 @@
     """Ask the daemon to stop, and start it again; planned."""
     process = vm.sidecar.process
     assert process is not None
+    vm.ending = True
     vm.stopping_since = asyncio.get_running_loop().time()
     vm.sidecar.signal(signal.SIGTERM)
     try:
@@ -70,14 +73,14 @@
 
 async def reload(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
     """Write other settings and send SIGHUP; planned."""
-    vm.sidecar.retry_slack = world.random.choice((60, 62))
+    vm.sidecar.retry_slack = world.fault_random.choice((60, 62))
     vm.sidecar.write_settings(world.directory)
     vm.sidecar.signal(signal.SIGHUP)
 
 
 async def change(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
     """Write configurations in quick succession; planned."""
-    for _ in range(world.random.choice((1, 1, 4))):
+    for _ in range(world.fault_random.choice((1, 1, 4))):
         world.change_configuration()
         await asyncio.sleep(0.2)
 
@@ -110,16 +113,18 @@
 async def misbehave(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
     """Have the target fail, be slow, or lose or truncate answers."""
     with world.unplanned():
-        vm.behaviour = world.random.choice(("slow", "fails", "loses", "truncates"))
+        vm.behaviour = world.fault_random.choice(
+            ("slow", "fails", "loses", "truncates")
+        )
         await asyncio.sleep(seconds)
         vm.behaviour = ""
 
 
 async def harm_link(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
     """Harm the link to the store, to other daemons or to the target."""
-    link = vm.link_by_use[world.random.choice(("inbound", "store", "target"))]
+    link = vm.link_by_use[world.fault_random.choice(("inbound", "store", "target"))]
     with world.unplanned():
-        link.set_link(world.random.choice(HARMED_LINKS))
+        link.set_link(world.fault_random.choice(HARMED_LINKS))
         await asyncio.sleep(seconds)
         link.set_link(Link.WHOLE)
 
@@ -181,6 +186,7 @@
 async def _end(vm: SoakVm, number: signal.Signals) -> None:
     process = vm.sidecar.process
     assert process is not None
+    vm.ending = True
     if process.returncode is None:
         process.send_signal(number)
     await process.wait()
--- a/devtools/soak/ledger.py
+++ b/devtools/soak/ledger.py
@@ -53,6 +53,7 @@
     reverts: list[str] = field(default_factory=list)
     behind: list[str] = field(default_factory=list)
     overstayed: list[str] = field(default_factory=list)
+    exits: list[str] = field(default_factory=list)
     calm_from: float = float("inf")
 
     def violations(self) -> Iterator[str]:
@@ -67,6 +68,7 @@
         yield from self._over_budget()
         yield from (f"went back: {each}" for each in self.reverts)
         yield from (f"not at the newest version: {each}" for each in self.behind)
+        yield from (f"ended by itself: {each}" for each in self.exits)
         yield from (f"still there after its grace: {each}" for each in self.overstayed)
         calm = [
             each
