--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -129,28 +129,17 @@
         link.set_link(Link.WHOLE)
 
 
-async def store_down(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
-    """Have the store refuse all calls."""
-    with world.unplanned():
-        world.store.down = True
-        await asyncio.sleep(seconds)
-        world.store.down = False
-
-
-async def store_slow(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
-    """Have the store answer late."""
-    with world.unplanned():
-        world.store.delay = 0.4
-        await asyncio.sleep(seconds)
-        world.store.delay = 0.0
+def harm_store(attribute: str, harmed: object, usual: object) -> Fault:
+    """Return the fault that gives an attribute of the store another value."""
 
+    async def fault(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+        with world.unplanned():
+            setattr(world.store, attribute, harmed)
+            await asyncio.sleep(seconds)
+            setattr(world.store, attribute, usual)
 
-async def store_loses(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
-    """Have the store perform writes and lose the answers."""
-    with world.unplanned():
-        world.store.loses_answers = True
-        await asyncio.sleep(seconds)
-        world.store.loses_answers = False
+    fault.__name__ = f"store_{attribute}"
+    return fault
 
 
 async def store_forgets(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
@@ -176,9 +165,9 @@
     harm_link,
     harm_link,
     harm_link,
-    store_down,
-    store_slow,
-    store_loses,
+    harm_store("down", True, False),
+    harm_store("delay", 0.4, 0.0),
+    harm_store("loses_answers", True, False),
     store_forgets,
 )
 
--- a/src/cassiasail/_internal/instruments.py
+++ b/src/cassiasail/_internal/instruments.py
@@ -128,9 +128,12 @@
     def family(self) -> "Metric":
         from prometheus_client.core import CounterMetricFamily
 
-        family = CounterMetricFamily(self._name, self._text, labels=self._labelnames)
+        return self._filled(CounterMetricFamily)
+
+    def _filled(self, kind: Any) -> "Metric":
+        family: Metric = kind(self._name, self._text, labels=self._labelnames)
         for labels, child in self._child_by_labels.items():
-            family.add_metric(labels, child.value)
+            kind.add_metric(family, labels, child.value)
         return family
 
 
@@ -144,10 +147,7 @@
     def family(self) -> "Metric":
         from prometheus_client.core import GaugeMetricFamily
 
-        family = GaugeMetricFamily(self._name, self._text, labels=self._labelnames)
-        for labels, child in self._child_by_labels.items():
-            family.add_metric(labels, child.value)
-        return family
+        return self._filled(GaugeMetricFamily)
 
 
 class Histogram(_Labelled):
