--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -27,9 +27,6 @@
 MAX_PAUSE_SECONDS = 2.0
 # The VMs that the others of a data centre rely on look for the store's return often.
 MAX_RELAY_PAUSE_SECONDS = 0.5
-# Changes in quick succession are read together: a storm of configurations costs a call
-# for each such span and not for each configuration.
-GATHER_SECONDS = 0.25
 # A peer answers from memory; later than its wait by this much, it is not well.
 PEER_MARGIN_SECONDS = 0.3
 # How long all sources may take together to answer without a wait; twice the round trip
@@ -48,10 +45,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FollowTimes:
-    """Times in seconds: one call's ``wait`` for changes, and the oldest knowledge."""
+    """Times in seconds.
+
+    ``wait`` is that of one call for changes, ``max_age`` the oldest knowledge that is
+    relied on. Changes within ``gather`` after others are read together, so that a
+    succession of changes costs a call for each such span and not for each change.
+    """
 
     wait: float
     max_age: float
+    gather: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -161,7 +164,7 @@
             reply = await self._poll(source, self._wait_at(source))
             if self._taken(source, reply):
                 if self._had_rows:
-                    await asyncio.sleep(GATHER_SECONDS)
+                    await asyncio.sleep(self._times.gather)
             else:
                 await self._recover()
 
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -29,7 +29,7 @@
 from cassiasail._internal.transport.http1.server import HttpServer
 from tests.lib.events import silent_events
 
-TIMES = FollowTimes(wait=0.2, max_age=0.5)
+TIMES = FollowTimes(wait=0.2, max_age=0.5, gather=0.25)
 FAILED = StoreFailed(reason="down", may_have_happened=False)
 
 
@@ -242,7 +242,7 @@
         late, store, unused = FakeStore(), FakeStore(), FakeStore()
         late.delay = 5.0
         store.put("k", b"1")
-        times = FollowTimes(wait=2.0, max_age=3.0)
+        times = FollowTimes(wait=2.0, max_age=3.0, gather=0.25)
         first = await Node(late, ALONE).listen()
         relay = Node(store, PeerOrder(before=(first,), behind=()), times)
         second = await relay.listen()
@@ -309,6 +309,28 @@
     asyncio.run(main())
 
 
+def test_changes_in_quick_succession_are_read_together() -> None:
+    """Guards against a call to the store for each of many changes.
+
+    Seen on censo-viv-grown trouble-1: 2,161 calls, two thirds of them for changes, cost
+    0.032 of worth.
+    """
+
+    async def main() -> None:
+        store = FakeStore()
+        store.put("k", b"0")
+        node = Node(store, ALONE)
+        await node.until(b"0")
+        before = store.calls
+        for number in range(20):
+            store.put("k", str(number).encode())
+            await asyncio.sleep(0.05)
+        await node.until(b"19")
+        assert store.calls - before <= 1.0 / TIMES.gather + 2
+
+    asyncio.run(main())
+
+
 def test_an_empty_store_is_read_once() -> None:
     """Guards against a busy loop of reads while the store is still empty.
 
