Wait for a table while it is arriving

Change: an exchange may have a grace in which it goes on as long as bytes come; polls of tables have 5 s. A recovery has no time of its own any more: each source has one.

--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -29,9 +29,8 @@
 MAX_RELAY_PAUSE_SECONDS = 0.5
 # A peer answers from memory; later than its wait by this much, it is not well.
 PEER_MARGIN_SECONDS = 0.3
-# How long all sources may take together to answer without a wait; twice the round trip
-# between regions and the time of a slow store fit in.
-RECOVER_SECONDS = 0.5
+# A large table takes seconds over a narrow link; it is waited for while it arrives.
+TRANSFER_SECONDS = 5.0
 # How long the first poll waits until the peers are known from their own table.
 FIRST_WAIT_SECONDS = 0.6
 # How long the second relay of a data centre waits for the first one when both start: a
@@ -189,7 +188,7 @@
         wait = RELAY_FIRST_WAIT_SECONDS if is_relay else self._times.wait
         ends = self._loop.time() + wait
         while (left := ends - self._loop.time()) > 0:
-            if await self._ask_together(relays, wait=left, seconds=left):
+            if await self._ask_together(relays, wait=left):
                 return
             await asyncio.sleep(FIRST_PAUSE_SECONDS)
         await self._recover()
@@ -205,30 +204,27 @@
         fresh = self.age <= self._times.max_age / 2
         sources = order.relays() if fresh else order.sources()
         asked = [each for each in sources if self._pauses.until(each) <= now]
-        await self._ask_together(asked, wait=0.0, seconds=RECOVER_SECONDS)
+        await self._ask_together(asked, wait=0.0)
 
     async def _ask_together(
-        self, sources: Iterable[Address | None], *, wait: float, seconds: float
+        self, sources: Iterable[Address | None], *, wait: float
     ) -> bool:
-        """Take the first usable answer of ``sources``; false if there is none."""
+        """Take the first usable answer of ``sources``; false if there is none.
+
+        Each one has its own time: one that is silent fails, one whose answer is
+        arriving goes on.
+        """
         source_by_task = {
             asyncio.create_task(self._poll(each, wait)): each for each in sources
         }
         waiting = set(source_by_task)
-        ends = self._loop.time() + seconds
         try:
             while waiting:
                 done, waiting = await asyncio.wait(
-                    waiting,
-                    timeout=max(0.0, ends - self._loop.time()),
-                    return_when=asyncio.FIRST_COMPLETED,
+                    waiting, return_when=asyncio.FIRST_COMPLETED
                 )
-                if not done:
-                    break
                 if any(self._taken(source_by_task[t], t.result()) for t in done):
                     return True
-            for task in waiting:
-                self._source_failed(source_by_task[task], "silent")
             return False
         finally:
             for task in waiting:
@@ -308,6 +304,7 @@
             source,
             table_sync.encode_query(query),
             timeout=query.wait + PEER_MARGIN_SECONDS,
+            grace=TRANSFER_SECONDS,
         )
         if isinstance(result, ExchangeFailed):
             # Before the first copy the others may be starting like this daemon.
--- a/src/cassiasail/_internal/protocol/exchanges.py
+++ b/src/cassiasail/_internal/protocol/exchanges.py
@@ -57,9 +57,12 @@
         timeout: float,
         accept: Callable[[HttpResponse], bool] | None = None,
         max_idle: float | None = None,
+        grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
         """Send ``request`` to ``address`` and return its answer within ``timeout`` s.
 
+        An answer that is arriving by then may take up to ``grace`` seconds longer.
+
         An answer that ``accept`` declines belongs to an earlier request and is
         dropped. ``max_idle`` bounds the seconds that the connection used was idle.
         """
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -15,6 +15,9 @@
 
 # Larger answers would not fit beside others into the memory of a small VM.
 MAX_ANSWER_BYTES = 64 << 20
+# An answer of which nothing came for this long is no longer arriving: many times what
+# lies between two segments on a slow link.
+STALLED_SECONDS = 0.3
 
 
 class ClientConnection(asyncio.Protocol):
@@ -31,6 +34,8 @@
         # False once bytes came that belong to no request, or the server closes.
         self.reusable = True
         self.idle_since = 0.0
+        self._received_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
         # Seconds that the server keeps an idle connection, None if it did not say.
         self.server_idle_seconds: float | None = None
 
@@ -61,6 +66,7 @@
             # Bytes without a request in progress: a late or second answer.
             self.close()
             return
+        self._received_at = self._loop.time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -115,10 +121,12 @@
         *,
         timeout: float,
         accept: Callable[[HttpResponse], bool] | None = None,
+        grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
         """Send ``request`` and return its answer, or why there is none.
 
-        ``timeout`` is in seconds. An answer that ``accept`` declines belongs to an
+        ``timeout`` is in seconds; an answer that is arriving by then may take up to
+        ``grace`` seconds longer. An answer that ``accept`` declines belongs to an
         earlier request; it is dropped and the next one awaited. Cancelling ends the
         connection.
         """
@@ -128,11 +136,14 @@
         waiter = self._loop.create_future()
         self._waiter, self._accept, self._method = waiter, accept, request.method
         transport.write(encode_request(request))
-        timer = self._loop.call_later(max(0.0, timeout), self._time_out)
+        timeout = max(0.0, timeout)
+        ends = self._loop.time() + timeout + grace
+        self._received_at = 0.0
+        self._timer = self._loop.call_later(timeout, self._time_out, ends)
         try:
             result: HttpResponse | ExchangeFailed = await waiter
         finally:
-            timer.cancel()
+            self._timer.cancel()
             if not waiter.done() or waiter.cancelled():
                 self._waiter = None
                 self.abort()
@@ -157,7 +168,12 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _time_out(self) -> None:
+    def _time_out(self, ends: float) -> None:
+        now = self._loop.time()
+        if now < ends and now - self._received_at < STALLED_SECONDS:
+            again = min(ends, self._received_at + STALLED_SECONDS)
+            self._timer = self._loop.call_at(again, self._time_out, ends)
+            return
         self._fail(FailureReason.TIMED_OUT)
         self.abort()
 
--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -48,6 +48,7 @@
         timeout: float,
         accept: Callable[[HttpResponse], bool] | None = None,
         max_idle: float | None = None,
+        grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
         """Send ``request`` to ``address``; see ``ClientConnection.exchange``.
 
@@ -67,7 +68,9 @@
                 return opened
             connection = opened
         left = ends - self._loop.time()
-        result = await connection.exchange(request, timeout=left, accept=accept)
+        result = await connection.exchange(
+            request, timeout=left, accept=accept, grace=grace
+        )
         if connection.is_open:
             self._keep(address, connection)
         elif isinstance(result, ExchangeFailed) and result.reason in _DROPPED:
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -22,8 +22,11 @@
 # An answer takes a few milliseconds; a store that is slower than this counts as away
 # for the call, which is then made again.
 CALL_SECONDS = 1.0
-# A whole table is large, and after a power loss many daemons read it over one link.
-READ_SECONDS = 3.0
+# The first byte of a whole table; after a power loss many daemons read it together.
+READ_SECONDS = 1.5
+# A large configuration takes seconds over a link that many daemons share; it is waited
+# for as long as it arrives.
+TRANSFER_SECONDS = 5.0
 # Time for the answer of a call that waits for changes, beyond its wait.
 WAIT_MARGIN_SECONDS = 0.3
 # The rows of the system lie in one part, so that a transaction covers any of them.
@@ -103,12 +106,14 @@
     ) -> HttpResponse | ExchangeFailed:
         target = f"{path}?{urlencode(query)}".encode()
         request = HttpRequest(method=b"GET", target=target, headers=self._headers())
-        return await self._call(request, timeout)
+        return await self._call(request, timeout, grace=TRANSFER_SECONDS)
 
     async def _call(
-        self, request: HttpRequest, timeout: float
+        self, request: HttpRequest, timeout: float, grace: float = 0.0
     ) -> HttpResponse | ExchangeFailed:
-        result = await self._pool.exchange(self._address, request, timeout=timeout)
+        result = await self._pool.exchange(
+            self._address, request, timeout=timeout, grace=grace
+        )
         if isinstance(result, ExchangeFailed):
             outcome = result.reason.value
         else:
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -265,7 +265,7 @@
         address = await other.listen()
         await other.until(b"1")
         node = Node(silent, PeerOrder(before=(), behind=(address,)))
-        assert await node.follower._ask_together((None, address), wait=0.0, seconds=5.0)
+        assert await node.follower._ask_together((None, address), wait=0.0)
         await node.until(b"1", 0.3)
 
     asyncio.run(main())
--- a/tests/unit/mesh/test_http1_client.py
+++ b/tests/unit/mesh/test_http1_client.py
@@ -230,3 +230,39 @@
     assert lost == 1
     # The last request follows at once and finds the connection of the one before.
     assert opened == 3
+
+
+def test_an_answer_that_is_arriving_is_waited_for() -> None:
+    """Guards against a large configuration that is given up again and again.
+
+    Seen in a hunt on ettpu-forecast-grown (trouble-2, seed 174975597997: CONFIG 7):
+    with 2,160 routes answers of the store took longer than the time for an answer.
+    """
+
+    async def main(parts: int, grace: float) -> tuple[Result, float]:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+            for _ in range(parts):
+                await asyncio.sleep(0.1)
+                writer.write(b"x")
+            await asyncio.sleep(2)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        pool = ConnectionPool(connect_timeout=1, silence=1, idle=10)
+        started = asyncio.get_running_loop().time()
+        result = await pool.exchange(address, REQUEST, timeout=0.25, grace=grace)
+        return result, asyncio.get_running_loop().time() - started
+
+    whole, _ = asyncio.run(main(10, 5.0))
+    assert isinstance(whole, HttpResponse)
+    assert whole.body == b"x" * 10
+    timed_out = ExchangeFailed(reason=FailureReason.TIMED_OUT, sent=True)
+    assert asyncio.run(main(10, 0.0))[0] == timed_out
+    stalled, seconds = asyncio.run(main(4, 5.0))
+    assert stalled == timed_out
+    assert seconds < 1.5
--- a/tests/unit/platform_adapter/test_table_store.py
+++ b/tests/unit/platform_adapter/test_table_store.py
@@ -34,7 +34,12 @@
         self.requests: list[HttpRequest] = []
 
     async def exchange(
-        self, address: Address, request: HttpRequest, *, timeout: float
+        self,
+        address: Address,
+        request: HttpRequest,
+        *,
+        timeout: float,
+        grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
         self.requests.append(request)
         return self.answers.pop(0)
