Stand-in of the store: rows and version of an answer are those of one moment

The stand-in took the rows before its pause and the version behind it, so a row written in between was never told to whoever asked for changes behind that version.

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -148,8 +148,10 @@
                 return web.Response(status=410)
             rows = self._rows(request.query["table"], int(request.query["after"]))
             if rows or asyncio.get_running_loop().time() >= ends:
+                # Rows and version of an answer are those of one moment.
+                page = self._page(rows)
                 await asyncio.sleep(self.delay)
-                return self._page(rows)
+                return page
             await asyncio.sleep(0.01)
 
     async def _transact(self, request: web.Request) -> web.Response:
