--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -20,8 +20,8 @@
 from .following import PeerOrder
 
 # Bytes between data centres are paid for by volume, and those between regions share
-# one slow link. With the mean of what both users pay for them, a request and its answer,
-# about 6 KB, cost this part of a late answer.
+# one slow link. With the mean of what both users pay for them, a request and its
+# answer, about 6 KB, cost this part of a late answer.
 CROSS_DATA_CENTRE_COST = 0.6
 CROSS_REGION_COST = 0.8
 LATE_COST = 1.0
