A target that was silent and goes on has not died

Cause: read in the code: after a pause of a target its lost connections were taken for its death when the same life reported again; a refusal by the target did not show that it lives; a new life was published once under the name of the former one. Result: test_a_target_that_was_silent_and_goes_on_has_not_died failed before and passes.

--- a/src/cassiasail/_internal/coordination/mesh/crashes.py
+++ b/src/cassiasail/_internal/coordination/mesh/crashes.py
@@ -112,8 +112,12 @@
             if lost >= sent
         }
 
+    def clear(self) -> None:
+        """Forget all losses."""
+        self._lost_by_fingerprint.clear()
+
     def died(self) -> tuple[Fingerprint, ...]:
         """Return what the target ran when it died, and begin anew."""
         named = tuple(self._lost_by_fingerprint)
-        self._lost_by_fingerprint.clear()
+        self.clear()
         return named
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -160,7 +160,11 @@
             self._last_target = report
             self._admission.resize(report.slots)
             return
-        self._judge_death(self._last_target)
+        last = self._last_target
+        if last is not None and last.life == report.life:
+            # It was silent and goes on, so that nothing lost meanwhile was its death.
+            self._evidence.clear()
+        self._judge_death(last)
         self._last_target = report
         # A new life has free slots, and what was learnt of the former one is void.
         if self._address is not None:
@@ -306,6 +310,7 @@
             admission.service_time.add(ran)
             self._time_of(hosted.route).add(ran)
             self._crashes.answered(call)
+        if isinstance(result, HttpResponse):
             self._evidence.answered(started)
         elif self._is_current(target):
             self._judge_loss(call, target, reply.reason)
@@ -324,9 +329,12 @@
 
     def _time_of(self, route: str) -> RunningMean:
         """Return the mean service time of the target on ``route``."""
-        while len(self._time_by_route) >= MAX_ROUTES:
-            del self._time_by_route[next(iter(self._time_by_route))]
-        return self._time_by_route.setdefault(route, RunningMean())
+        mean = self._time_by_route.get(route)
+        if mean is None:
+            if len(self._time_by_route) >= MAX_ROUTES:
+                del self._time_by_route[next(iter(self._time_by_route))]
+            mean = self._time_by_route[route] = RunningMean()
+        return mean
 
     def _is_current(self, target: TargetReport) -> bool:
         return self._target is not None and self._target.life == target.life
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -112,8 +112,7 @@
         current = self._registration.current
         if current is not None and current.life == (death.target, death.born):
             self._registration.lose()
-        else:
-            self._publish(self._registration.state)
+        # Otherwise a new life is being taken, whose record is published next.
 
     def suspend(self) -> None:
         """Tell the others not to use the target while this daemon is away."""
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -287,6 +287,20 @@
     asyncio.run(main())
 
 
+def test_a_target_that_was_silent_and_goes_on_has_not_died() -> None:
+    """Guards against deaths of targets that only stood still for some seconds."""
+
+    async def main() -> None:
+        deaths: list[TargetDeath] = []
+        host = host_of(FakeTargetPool(answer=LOST, seconds=0), deaths)
+        await host.run(SAFE)
+        host.set_target(None)
+        host.set_target(replace(REPORT, sequence=9))
+        assert deaths == []
+
+    asyncio.run(main())
+
+
 def test_a_request_that_killed_three_targets_is_refused() -> None:
     """Guards against a request that kills one target after the other."""
 
