--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -101,7 +101,8 @@
 
     def recall(self, record: HostRecord) -> None:
         """Take over what a former life of this daemon has published."""
-        self._deaths = (*record.deaths, *self._deaths)[-MAX_DEATHS:]
+        known = dict.fromkeys((*record.deaths, *self._deaths))
+        self._deaths = tuple(known)[-MAX_DEATHS:]
         report = self._registration.recall(record)
         if report is not None:
             self._background.start(self._ask_target(report))
