--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -20,6 +20,7 @@
 
 HOST = "127.0.0.1"
 PORT_RANGE = (10000, 30000)
+_given_ports: set[int] = set()
 REPO = Path(__file__).resolve().parents[1]
 LIMITS = {
     "maxHeaderBytes": 16384,
@@ -33,15 +34,19 @@
     """Return a port of the loopback address that is free now.
 
     It lies below the range from which the system takes ports for outgoing
-    connections, so that none of these gets it before it is used.
+    connections, so that none of these gets it before it is used, and it is returned
+    only once.
     """
     while True:
         port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue  # Taken by another program.
+        _given_ports.add(port)
         return port
 
 
