Serve uploads, and routes of unknown kinds as unsafe

Change: upload is unsafe. A kind that this build doesn't know is unsafe as well, logged (route_kinds_unknown) and counted.

--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -187,6 +187,11 @@
     ["service"],
     registry=REGISTRY,
 )
+MESH_UNKNOWN_KIND_ROUTES = Gauge(
+    "cassiasail_mesh_unknown_kind_routes",
+    "Routes in force whose kind this build does not know; they are unsafe.",
+    registry=REGISTRY,
+)
 LOG_LINES_LEFT_OUT = Counter(
     "cassiasail_log_lines_left_out",
     "Log lines not written, by reason: the rate limit of their event or a full pipe.",
--- a/src/cassiasail/_internal/sidecar/store_view.py
+++ b/src/cassiasail/_internal/sidecar/store_view.py
@@ -1,10 +1,12 @@
 """Keeps the configuration and the records of the VMs in sync with the store."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 
 from ...platform import configuration
+from .. import metrics
 from ..coordination.mesh.balancing import Fleet
 from ..coordination.mesh.crashes import CrashHistory
 from ..coordination.mesh.following import FollowTimes, TableFollower
@@ -29,6 +31,8 @@
 # for leaving targets, so the table is needed only to find new targets.
 HOSTS_WAIT_SECONDS = 3.0
 HOSTS_MAX_AGE_SECONDS = 4.0
+# Bounds the length of the log line about routes of unknown kinds.
+MAX_KINDS_LOGGED = 5
 
 
 class StoreView:
@@ -151,6 +155,22 @@
         self._events.write(
             "config_taken", version=config.version, routes=len(config.routes)
         )
+        self._report_unknown_kinds(config)
+
+    def _report_unknown_kinds(self, config: MeshConfig) -> None:
+        """Log and count the routes whose kind this build doesn't know."""
+        routes_by_kind = Counter(
+            route.unknown_kind
+            for route in config.routes
+            if route.unknown_kind is not None
+        )
+        metrics.MESH_UNKNOWN_KIND_ROUTES.set(routes_by_kind.total())
+        if routes_by_kind:
+            self._events.write(
+                "route_kinds_unknown",
+                version=config.version,
+                routes_by_kind=dict(routes_by_kind.most_common(MAX_KINDS_LOGGED)),
+            )
 
     def _host_row_changed(self, row: StoredRow) -> None:
         record = None if row.deleted else decode_record(row.key, row.value)
--- a/src/cassiasail/_internal/state/mesh_config.py
+++ b/src/cassiasail/_internal/state/mesh_config.py
@@ -40,7 +40,8 @@
     ``timeout`` bounds the whole request and ``latency_objective`` is the latency within
     which a response is worth most to the client. ``priority`` 0 is the most urgent.
     ``max_attempts`` bounds how often one request is dispatched to a target; attempts
-    that a host daemon refused before the dispatch don't count.
+    that a host daemon refused before the dispatch don't count. ``unknown_kind`` is the
+    kind of the route if this build doesn't know it; such a route is unsafe.
     """
 
     name: str
@@ -52,6 +53,7 @@
     priority: int
     max_attempts: int
     split: tuple[WeightedService, ...]
+    unknown_kind: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cassiasail/platform/configuration.py
+++ b/src/cassiasail/platform/configuration.py
@@ -21,7 +21,12 @@
 TABLE = "op"
 KEY = "config"
 
-_RETRY_SAFETY_BY_KIND = {"safe": RetrySafety.SAFE, "unsafe": RetrySafety.UNSAFE}
+# An upload has a large body and is otherwise handled like an unsafe request.
+_RETRY_SAFETY_BY_KIND = {
+    "safe": RetrySafety.SAFE,
+    "unsafe": RetrySafety.UNSAFE,
+    "upload": RetrySafety.UNSAFE,
+}
 
 
 def decode_configuration(data: bytes) -> MeshConfig | ConfigRejected:
@@ -47,8 +52,6 @@
 
 def _decode_route(name: str, entry: Any) -> MeshRoute:
     kind = fields.text(entry, "kind")
-    if kind not in _RETRY_SAFETY_BY_KIND:
-        raise fields.MalformedError(f"route {name}: kind {kind!r} is unknown")
     max_attempts = (
         fields.integer(entry, "maxAttempts")
         if "maxAttempts" in entry
@@ -58,7 +61,10 @@
         name=name,
         host=fields.text(entry, "hostname").lower(),
         prefix=fields.text(entry, "prefix"),
-        retry_safety=_RETRY_SAFETY_BY_KIND[kind],
+        # Rejecting the configuration for a kind that only newer builds know would stop
+        # the whole fleet. Only safe requests may run twice, so the route is unsafe.
+        retry_safety=_RETRY_SAFETY_BY_KIND.get(kind, RetrySafety.UNSAFE),
+        unknown_kind=None if kind in _RETRY_SAFETY_BY_KIND else kind,
         timeout=fields.seconds(entry, "timeoutMs"),
         latency_objective=fields.seconds(entry, "sloMs"),
         priority=fields.integer(entry, "priority") if "priority" in entry else 0,
