Let the cost of distance follow the bytes of a request and its response

Cause: the cost of another data centre was one figure for 6 KB, though traffic is billed by volume.

Change: the cost is per kilobyte of request body, headers and mean response body of the route, and stays below that of a failure. The price of 6 KB is as before.

--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -26,28 +26,28 @@
 
 
 class RunningMean:
-    """Moving average of service times in seconds.
+    """Moving average of measurements of one kind, by default service times in seconds.
 
     The first sample replaces the initial value, and the first ten count equally. After
     that, each new sample counts with ``SAMPLE_WEIGHT``.
     """
 
-    def __init__(self) -> None:
-        self.seconds = INITIAL_SERVICE_SECONDS
+    def __init__(self, *, initial: float = INITIAL_SERVICE_SECONDS) -> None:
+        self.value = initial
         self._samples = 0
 
-    def add(self, seconds: float) -> None:
-        """Record the service time of one request."""
+    def add(self, value: float) -> None:
+        """Record one measurement."""
         self._samples += 1
         weight = max(SAMPLE_WEIGHT, 1 / self._samples)
-        self.seconds += weight * (seconds - self.seconds)
+        self.value += weight * (value - self.value)
 
     def add_if_longer(self, seconds: float) -> None:
         """Record a request that was cancelled after ``seconds``.
 
         Its full service time is unknown, so only a time above the mean is recorded.
         """
-        if seconds > self.seconds:
+        if seconds > self.value:
             self.add(seconds)
 
 
@@ -101,7 +101,7 @@
         running_above_slots = max(0, self.running - self.slots)
         return (
             (requests_before + running_above_slots + 1)
-            * self.service_time.seconds
+            * self.service_time.value
             / self.slots
         )
 
--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -22,10 +22,17 @@
 from .following import SyncSources
 
 # Traffic between data centres is billed by volume, and all traffic between two regions
-# shares one slow link. Costs of one request and its response, about 6 KB, in units of
-# one late response, at the highest price per byte seen in use.
-CROSS_DATA_CENTRE_COST = 0.85
-CROSS_REGION_COST = 1.0
+# shares one slow link. Costs of each kilobyte of a request and its response, in units
+# of one late response.
+CROSS_DATA_CENTRE_COST_PER_KB = 0.14
+CROSS_REGION_COST_PER_KB = 0.165
+# Below the cost of a failure, so that a request with a large body also leaves a data
+# centre in which it would fail.
+MAX_DISTANCE_COST = 1.25
+# Headers of one request and its response between two daemons.
+HEADER_KB = 0.6
+# Size of a response body that is assumed before the first response on a route.
+INITIAL_RESPONSE_KB = 2.0
 LATE_COST = 1.0
 FAILURE_COST = 1.5
 # Service times are modelled as log-normal. This is the standard deviation of their
@@ -56,13 +63,18 @@
     OTHER_REGION = 2
 
 
-_COST_BY_DISTANCE = {
+_COST_PER_KB_BY_DISTANCE = {
     Distance.SAME_DATA_CENTRE: 0.0,
-    Distance.SAME_REGION: CROSS_DATA_CENTRE_COST,
-    Distance.OTHER_REGION: CROSS_REGION_COST,
+    Distance.SAME_REGION: CROSS_DATA_CENTRE_COST_PER_KB,
+    Distance.OTHER_REGION: CROSS_REGION_COST_PER_KB,
 }
 
 
+def distance_cost(distance: Distance, kilobytes: float) -> float:
+    """Return the cost of ``kilobytes`` sent to and from a VM at ``distance``."""
+    return min(MAX_DISTANCE_COST, _COST_PER_KB_BY_DISTANCE[distance] * kilobytes)
+
+
 @dataclass(slots=True, kw_only=True)
 class HostView:
     """State of one VM as known to this daemon; times are loop times in seconds.
@@ -137,6 +149,7 @@
     random: Random
     view_by_host: dict[HostId, HostView] = field(default_factory=dict)
     _service_time_by_route: dict[str, RunningMean] = field(default_factory=dict)
+    _response_kb_by_route: dict[str, RunningMean] = field(default_factory=dict)
 
     def update(self, record: HostRecord, version: int) -> None:
         """Apply a new or changed host record, stored as ``version``.
@@ -247,13 +260,15 @@
         route: str,
         time_to_objective: float,
         remaining_time: float,
+        request_kb: float,
         excluded: Collection[HostId],
     ) -> Choice | None:
         """Return a VM of ``service`` with the lowest cost, None if there is none.
 
         ``time_to_objective`` and ``remaining_time`` are the seconds from now until the
-        latency objective and the deadline. VMs in ``excluded`` are never chosen,
-        suspected and avoided ones only if there is no other.
+        latency objective and the deadline, ``request_kb`` the size of the request body
+        in kilobytes. VMs in ``excluded`` are never chosen, suspected and avoided ones
+        only if there is no other.
         """
         now = asyncio.get_running_loop().time()
         views = [
@@ -264,27 +279,42 @@
         preferred = [
             view for view in views if not view.suspected and view.avoided_until <= now
         ]
-        limits = _TimeLimits(
+        demand = _Demand(
             route=route,
             time_to_objective=time_to_objective,
             remaining_time=remaining_time,
+            kilobytes=HEADER_KB + request_kb + self._mean_response_kb(route),
         )
         choices = [
-            self._estimate_cost(view, limits, now) for view in preferred or views
+            self._estimate_cost(view, demand, now) for view in preferred or views
         ]
         return self._cheapest(choices)
 
     def mean_service_seconds(self, route: str) -> float:
         """Return the mean service time on ``route`` over all targets, in seconds."""
-        return self._service_time_by_route.setdefault(route, RunningMean()).seconds
+        return self._service_time_by_route.setdefault(route, RunningMean()).value
+
+    def _mean_response_kb(self, route: str) -> float:
+        """Return the mean size of the response bodies on ``route``, in kilobytes."""
+        return self._response_kb_by_route.setdefault(
+            route, RunningMean(initial=INITIAL_RESPONSE_KB)
+        ).value
 
     def record_response(
-        self, view: HostView, route: str, service_seconds: float
+        self,
+        view: HostView,
+        route: str,
+        *,
+        service_seconds: float,
+        response_kb: float,
     ) -> None:
-        """Record the service time of a request on ``route`` that got a response.
+        """Record the service time and body size of a response on ``route``.
 
         The response also shows that the VM is reachable.
         """
+        self._response_kb_by_route.setdefault(
+            route, RunningMean(initial=INITIAL_RESPONSE_KB)
+        ).add(response_kb)
         self._service_time_by_route.setdefault(route, RunningMean()).add(
             service_seconds
         )
@@ -301,7 +331,7 @@
         fleet_mean = self._service_time_by_route.get(route)
         if fleet_mean is not None and load.route_service_seconds > 0:
             view.relative_service_time = load.route_service_seconds / max(
-                fleet_mean.seconds, 1e-3
+                fleet_mean.value, 1e-3
             )
         view.load_received_at = asyncio.get_running_loop().time()
         view.forwarded_since_load = 0
@@ -318,13 +348,11 @@
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
 
-    def _estimate_cost(
-        self, view: HostView, limits: "_TimeLimits", now: float
-    ) -> Choice:
+    def _estimate_cost(self, view: HostView, demand: "_Demand", now: float) -> Choice:
         """Return ``view`` with its cost, in units of one late response."""
         wait = view.expected_wait(now)
         service_seconds = (
-            self.mean_service_seconds(limits.route) * view.relative_service_time
+            self.mean_service_seconds(demand.route) * view.relative_service_time
         )
         failure_share = view.load.failure_share if view.load is not None else 0.0
         load_age = now - view.load_received_at
@@ -333,14 +361,14 @@
         if load_age > LOAD_REPORT_MAX_AGE_SECONDS:
             failure_share *= LOAD_REPORT_MAX_AGE_SECONDS / load_age
         timeout_probability = probability_longer(
-            limits.remaining_time - wait, service_seconds
+            demand.remaining_time - wait, service_seconds
         )
         cost = (
-            _COST_BY_DISTANCE[view.distance]
+            distance_cost(view.distance, demand.kilobytes)
             + LATE_COST
-            * probability_longer(limits.time_to_objective - wait, service_seconds)
+            * probability_longer(demand.time_to_objective - wait, service_seconds)
             + LATENCY_COST
-            * min((wait + service_seconds) / max(limits.remaining_time, 1e-3), 1.0)
+            * min((wait + service_seconds) / max(demand.remaining_time, 1e-3), 1.0)
             + FAILURE_COST * max(failure_share, timeout_probability)
         )
         return Choice(view=view, service_seconds=service_seconds, cost=cost)
@@ -355,12 +383,17 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class _TimeLimits:
-    """Route of a request and the seconds until its latency objective and deadline."""
+class _Demand:
+    """What the cost of a request depends on, besides the VM.
+
+    Its route, the seconds until its latency objective and deadline, and the expected
+    size of the request and its response.
+    """
 
     route: str
     time_to_objective: float
     remaining_time: float
+    kilobytes: float
 
 
 def probability_longer(limit: float, mean: float) -> float:
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -103,6 +103,7 @@
     service: ServiceName
     arrived_at: float
     deadline: float
+    body_kb: float
 
     @property
     def objective_deadline(self) -> float:
@@ -207,6 +208,7 @@
             service=service,
             arrived_at=request.arrived_at,
             deadline=request.arrived_at + timeout,
+            body_kb=len(request.body) / 1000,
         )
 
     async def _forward_until_final(
@@ -248,6 +250,7 @@
                 route=state.route.name,
                 time_to_objective=state.objective_deadline - now,
                 remaining_time=state.deadline - now,
+                request_kb=state.body_kb,
                 excluded=state.excluded,
             )
             if choice is not None or state.late:
@@ -339,7 +342,12 @@
             return None
         state.dispatches += 1
         if reply.outcome is HostOutcome.ANSWERED and reply.response is not None:
-            self._fleet.record_response(view, state.route.name, reply.run_seconds)
+            self._fleet.record_response(
+                view,
+                state.route.name,
+                service_seconds=reply.run_seconds,
+                response_kb=len(reply.response.body) / 1000,
+            )
             if reply.response.status < 500:
                 return reply.response
             state.failed_response = reply.response
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -217,9 +217,9 @@
             running=admission.running,
             waiting=admission.waiting,
             slots=admission.slots,
-            service_seconds=admission.service_time.seconds,
+            service_seconds=admission.service_time.value,
             failure_share=self._failure_share.at(self._loop.time()),
-            route_service_seconds=mean.seconds if mean is not None else 0.0,
+            route_service_seconds=mean.value if mean is not None else 0.0,
         )
 
     @property
@@ -294,7 +294,7 @@
             priority=hosted.priority,
             late=hosted.late,
             max_wait=hosted.max_wait,
-            service_seconds=self._service_time_of(hosted.route).seconds,
+            service_seconds=self._service_time_of(hosted.route).value,
         )
         if refusal is not None:
             return _refused(refusal)
--- a/tests/unit/mesh/test_admission.py
+++ b/tests/unit/mesh/test_admission.py
@@ -85,7 +85,7 @@
     """Guards against a request that is queued first and refused only later."""
 
     async def body(admission: Admission) -> None:
-        admission.service_time.seconds = 1.0
+        admission.service_time.value = 1.0
         await admission.acquire(priority=0, late=False, max_wait=1)
         reason = await admission.acquire(priority=0, late=False, max_wait=0.5)
         assert reason is HostReason.BUSY
@@ -97,7 +97,7 @@
     """Guards against a request that gets a slot after its longest wait."""
 
     async def body(admission: Admission) -> None:
-        admission.service_time.seconds = 0.01
+        admission.service_time.value = 0.01
         await admission.acquire(priority=0, late=False, max_wait=1)
         reason = await admission.acquire(priority=0, late=False, max_wait=0.05)
         assert reason is HostReason.EXPIRED
--- a/tests/unit/mesh/test_entry.py
+++ b/tests/unit/mesh/test_entry.py
@@ -262,11 +262,18 @@
     )
 
 
-def choose_host(fleet: Fleet, prepare: Callable[[Fleet], None]) -> str:
+def choose_host(
+    fleet: Fleet, prepare: Callable[[Fleet], None], *, request_kb: float = 0.0
+) -> str:
     async def main() -> str:
         prepare(fleet)
         choice = fleet.choose(
-            ONE, route="r", time_to_objective=1.0, remaining_time=2.0, excluded=()
+            ONE,
+            route="r",
+            time_to_objective=1.0,
+            remaining_time=2.0,
+            request_kb=request_kb,
+            excluded=(),
         )
         assert choice is not None
         return choice.view.record.host
@@ -290,6 +297,31 @@
     assert choose_host(fleet_of(near, far), apply_load(full)) == "farther"
 
 
+def test_large_requests_stay_in_their_data_centre_longer() -> None:
+    """Guards against one price of distance for bodies of 1 KB and of 60 KB.
+
+    A body that is sent to another data centre costs by its bytes; a request that would
+    fail at home leaves in any case.
+    """
+    near, far = record("near"), record("farther", "dc2", "r2")
+    late = HostLoad(
+        running=4, waiting=40, slots=4, service_seconds=0.1, failure_share=0
+    )
+    failing = replace(late, waiting=0, failure_share=1.0)
+
+    def apply_load(load: HostLoad) -> Callable[[Fleet], None]:
+        return lambda fleet: fleet.apply_load_report(
+            fleet.view_by_host["near"], "r", load
+        )
+
+    assert choose_host(fleet_of(near, far), apply_load(late)) == "farther"
+    assert choose_host(fleet_of(near, far), apply_load(late), request_kb=60.0) == "near"
+    assert (
+        choose_host(fleet_of(near, far), apply_load(failing), request_kb=60.0)
+        == "farther"
+    )
+
+
 def test_one_load_report_gives_the_speed_of_a_target() -> None:
     """Guards against a slow target that each daemon has to measure on its own.
 
@@ -309,7 +341,7 @@
                 route_service_seconds=seconds,
             )
             view = fleet.view_by_host[host]
-            fleet.record_response(view, "r", 0.3)
+            fleet.record_response(view, "r", service_seconds=0.3, response_kb=1.0)
             fleet.apply_load_report(view, "r", load)
 
     assert choose_host(fleet_of(slow, fast), prepare) == "faster"
