Read a change over the link between regions once

Cause: in each data centre a relay read every configuration from the store, so 850 routes crossed a narrow link once for each data centre. A daemon that changed from another daemon to the store read the whole table again.

Change: the first VM of a region polls the store, the heads of its data centres poll that VM, each data centre its head. A copy that came from daemons is continued by changes only. The first start waits for the first heartbeats. Fallback polls are spread by a hash over the VMs. Polls wait half the maximum age, since a copy grows older with each daemon that it passes.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -8,11 +8,13 @@
 """
 
 import asyncio
+import heapq
 import math
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 from random import Random
+from zlib import crc32
 
 from ...ids import DataCentre, Region, ServiceName
 from ...protocol.exchanges import Address, parse_address
@@ -50,9 +52,9 @@
 # again too early costs one round trip.
 NO_TARGET_AVOID_SECONDS = 0.5
 # Number of fallback sync sources, polled for tables when the store is unreachable: VMs
-# of the local data centre, and VMs of other data centres, where traffic is expensive.
+# of the local data centre, and at each greater distance, where traffic is expensive.
 MAX_LOCAL_FALLBACK_SOURCES = 2
-MAX_REMOTE_FALLBACK_SOURCES = 2
+MAX_FALLBACK_SOURCES_PER_DISTANCE = 1
 
 
 class Distance(IntEnum):
@@ -215,10 +217,12 @@
 
         The VMs of a data centre are ordered by the rate of their links, the fastest
         first, because the first ones are relays that serve all others. The VMs before
-        this one in that order are the preferred sources. Some of those after it, and
-        some VMs of other data centres, are the fallback sources for when the store is
-        unreachable. VMs whose target is absent are left out: most of them are dead, and
-        polling a dead VM takes until the connection times out.
+        this one in that order are the preferred sources. The first VM of a data centre
+        prefers those of other data centres of its region instead, in the same order, so
+        that a change crosses the link between two regions once. Some VMs after this
+        one, and some of other data centres, are the fallback sources for when the store
+        is unreachable. VMs whose target is absent are left out: most of them are dead,
+        and polling a dead VM takes until the connection times out.
         """
         others = [
             view
@@ -240,19 +244,56 @@
         later = [
             address for *position, address in local if tuple(position) > own_position
         ]
-        remote = [
-            view.address
-            for view in others
-            if view.distance is not Distance.SAME_DATA_CENTRE
-        ]
+        is_data_centre_head = not preferred
+        if is_data_centre_head:
+            preferred = tuple(
+                address
+                for *position, address in self._heads_of_region(others)
+                if tuple(position) < own_position
+            )
         return SyncSources(
             preferred=preferred,
-            fallback=tuple(
-                later[:MAX_LOCAL_FALLBACK_SOURCES]
-                + remote[:MAX_REMOTE_FALLBACK_SOURCES]
+            fallback=(
+                *later[:MAX_LOCAL_FALLBACK_SOURCES],
+                *self._remote_fallback(others),
             ),
+            is_data_centre_head=is_data_centre_head,
         )
 
+    @staticmethod
+    def _heads_of_region(
+        others: Iterable[HostView],
+    ) -> list[tuple[int, HostId, Address]]:
+        """Return the first VM of each other data centre of this region, in order."""
+        head_by_data_centre: dict[DataCentre, tuple[int, HostId, Address]] = {}
+        for view in others:
+            if view.distance is not Distance.SAME_REGION:
+                continue
+            record = view.record
+            candidate = (-record.link_mbps, record.host, view.address)
+            head = head_by_data_centre.get(record.data_centre, candidate)
+            head_by_data_centre[record.data_centre] = min(head, candidate)
+        return sorted(head_by_data_centre.values())
+
+    def _remote_fallback(self, others: Iterable[HostView]) -> Iterator[Address]:
+        """Yield some VMs of other data centres, different ones for different daemons.
+
+        If all daemons chose the same ones, an outage of the store would overload them.
+        """
+        remote = [
+            (crc32(f"{self.own_host}/{view.record.host}".encode()), view)
+            for view in others
+            if view.distance is not Distance.SAME_DATA_CENTRE
+        ]
+        for distance in (Distance.SAME_REGION, Distance.OTHER_REGION):
+            at_distance = (each for each in remote if each[1].distance is distance)
+            for _, view in heapq.nsmallest(
+                MAX_FALLBACK_SOURCES_PER_DISTANCE,
+                at_distance,
+                key=lambda each: each[0],
+            ):
+                yield view.address
+
     def choose(
         self,
         service: ServiceName,
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -1,12 +1,13 @@
 """Keeps a copy of one store table up to date with few store requests.
 
-In each data centre the first VMs of a fixed order, the relays, poll the store. The
-other VMs, the followers, poll the relays, because a store request costs more than a
-request within the data centre and a large configuration should cross the link between
-regions only a few times. Every reply carries its age, the time since the store
-confirmed the data. A reply that is too old is rejected and its source is backed off, so
-a daemon whose source can't reach the store polls the next VM, then the store, and as a
-last resort the fallback sources, which include VMs of other data centres.
+In each region the first VM of a fixed order polls the store, and the first VMs of the
+other data centres, the heads, poll it. In each data centre the first VMs, the relays,
+serve all others, the followers. A store request costs more than a request between
+daemons, and a large configuration should cross the link between regions once. Every
+reply carries its age, the time since the store confirmed the data. A reply that is too
+old is rejected and its source is backed off, so a daemon whose source can't reach the
+store polls the next VM, then the store, and as a last resort the fallback sources,
+which include VMs of other data centres.
 """
 
 import asyncio
@@ -41,11 +42,21 @@
 TRANSFER_GRACE_SECONDS = 5.0
 # How long the first poll waits for the table of hosts, from which the peers are known.
 PEERS_KNOWN_TIMEOUT_SECONDS = 0.6
+# At the first start of the whole system no VM is in the table of hosts until the first
+# heartbeats. The first poll waits this long for them and for the others to be added:
+# without known peers all daemons would read the store at once.
+FIRST_START_TIMEOUT_SECONDS = 2.5
+FIRST_START_SETTLE_SECONDS = 0.5
+FIRST_START_POLL_SECONDS = 0.1
 # How long the second relay of a data centre polls the first one at its start before it
 # reads the store. A daemon needs about this long from its start to its first reply.
 SECOND_RELAY_WAIT_SECONDS = 0.3
-# Number of VMs of the local data centre that are polled before the store.
+# Number of preferred VMs that are polled before the store.
 RELAY_COUNT = 2
+# Longest wait of a poll by the head of a data centre at the head of another one, as a
+# fraction of the maximum age. The age of its own copy, which it serves, is the sum of
+# its wait and the age at its source.
+HEAD_WAIT_FRACTION = 0.2
 # Number of VMs of a data centre that read the store as soon as the relays before them
 # fail; the others follow these VMs.
 STORE_READER_COUNT = 3
@@ -72,20 +83,27 @@
 class SyncSources:
     """Sync sources of this VM in the order in which they are polled.
 
-    ``preferred`` are the VMs of the local data centre that come before this VM; the
+    ``preferred`` are the VMs of the local data centre that come before this VM, and for
+    the first VM of a data centre the first VMs of other data centres of the region. The
     first of them are polled before the store. ``fallback`` are polled last.
     """
 
     preferred: tuple[Address, ...]
     fallback: tuple[Address, ...]
+    is_data_centre_head: bool = False
+
+    @property
+    def any_known(self) -> bool:
+        """Whether any other daemon is known."""
+        return bool(self.preferred or self.fallback)
 
     @property
     def is_store_reader(self) -> bool:
         """Whether this VM reads the store as soon as its relays fail."""
-        return len(self.preferred) < STORE_READER_COUNT
+        return self.is_data_centre_head or len(self.preferred) < STORE_READER_COUNT
 
     def relays(self) -> tuple[Address | None, ...]:
-        """Return the VMs of the local data centre that are polled before the store."""
+        """Return the VMs that are polled before the store."""
         return self.preferred[:RELAY_COUNT]
 
     def sources(self, *, stale: bool) -> tuple[Address | None, ...]:
@@ -138,7 +156,8 @@
     ``changed`` is called with each new, changed or deleted row, ``unreachable`` with
     the address of each peer that accepted no connection. ``peers`` returns the current
     order of sources. If ``peers_known`` is given, the first poll waits for this event,
-    up to ``PEERS_KNOWN_TIMEOUT_SECONDS``.
+    up to ``PEERS_KNOWN_TIMEOUT_SECONDS``, and with ``first_start`` also until a peer is
+    known.
     """
 
     def __init__(
@@ -154,9 +173,11 @@
         events: EventLog,
         random: Random,
         peers_known: asyncio.Event | None = None,
+        first_start: bool = False,
     ) -> None:
         self._tables = tables
         self._peers_known = peers_known
+        self._first_start = first_start
         self._table = table
         self._pool = pool
         self._times = times
@@ -171,7 +192,7 @@
         # None is the store.
         self._source: Address | None = None
         self._store_unreachable_since: float | None = None
-        self._needs_full_read = True
+        self._history_gone = False
         self._last_reply_had_rows = False
         self._stopped = False
         self.first_copy_read = asyncio.Event()
@@ -213,21 +234,31 @@
                 await peers_known.wait()
         except TimeoutError:
             self._events.write("peers_unknown", table=self._table)
+        if self._first_start:
+            await self._wait_for_first_peers()
+
+    async def _wait_for_first_peers(self) -> None:
+        """Wait until the heartbeats of the first targets have made peers known."""
+        deadline = self._loop.time() + FIRST_START_TIMEOUT_SECONDS
+        while not self._peers().any_known and self._loop.time() < deadline:
+            await asyncio.sleep(FIRST_START_POLL_SECONDS)
+        if self._peers().any_known:
+            await asyncio.sleep(FIRST_START_SETTLE_SECONDS)
 
     async def _read_first_copy(self) -> None:
         """Poll the relays concurrently until one of them returns the table.
 
         After a power loss all daemons start together, and any relay may start late. The
-        second relay waits only a short time for the first one and then reads the store,
-        so that it can serve the other VMs while they still wait. If they read the store
-        too, their reads would take longer than the wait over a narrow link. If no relay
-        replies in time, all sources are polled.
+        head of a data centre and its second relay wait only a short time and then read
+        the store, so that they can serve the other VMs while these still wait. If these
+        read the store too, their reads would take longer than the wait over a narrow
+        link. If no relay replies in time, all sources are polled.
         """
         relays = self._peers().relays()
         if not relays:
             return
-        is_second_relay = len(relays) < RELAY_COUNT
-        wait = SECOND_RELAY_WAIT_SECONDS if is_second_relay else self._times.wait
+        serves_others = self._peers().is_data_centre_head or len(relays) < RELAY_COUNT
+        wait = SECOND_RELAY_WAIT_SECONDS if serves_others else self._times.wait
         deadline = self._loop.time() + wait
         while (remaining := deadline - self._loop.time()) > 0:
             if await self._poll_concurrently(relays, wait=remaining):
@@ -278,8 +309,10 @@
         If the copy is older than the maximum age, the connection to the store may be
         dead. A poll without a wait detects this soonest.
         """
-        if source is None and self.age > self._times.max_age:
-            return 0.0
+        if source is None:
+            return 0.0 if self.age > self._times.max_age else self._times.wait
+        if self._peers().is_data_centre_head:
+            return min(self._times.wait, HEAD_WAIT_FRACTION * self._times.max_age)
         return self._times.wait
 
     def _apply_reply(
@@ -362,20 +395,21 @@
         return table_sync.decode_reply(result) or _PollFailed(reason="malformed")
 
     async def _poll_store(self, wait: float) -> SyncReply | _PollFailed:
-        result: TableDelta | HistoryGone | StoreFailed
-        if not self._needs_full_read:
+        result: TableDelta | HistoryGone | StoreFailed = HistoryGone()
+        # A copy that came from other daemons has versions of the store as well, so its
+        # changes are enough.
+        if self.first_copy_read.is_set() and not self._history_gone:
             result = await self._tables.changes(
                 self._table, after=self._mirror.version, wait=wait
             )
             if isinstance(result, HistoryGone):
                 self._events.write("history_gone", table=self._table)
-                self._needs_full_read = True
-        if self._needs_full_read:
+                self._history_gone = True
+        if isinstance(result, HistoryGone):
             result = await self._tables.read(self._table)
         if isinstance(result, StoreFailed):
             return _PollFailed(reason=result.reason)
-        assert isinstance(result, TableDelta)
-        self._needs_full_read = False
+        self._history_gone = False
         return SyncReply(delta=result, age=0.0)
 
     def _record_source_failure(self, source: Address | None, reason: str) -> None:
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -175,6 +175,7 @@
         self._store_view = StoreView(
             host=settings.host,
             config_apply_seconds=settings.config_apply_seconds,
+            first_start=settings.first_start,
             tables=tables,
             pool=self._peer_pool,
             fleet=self._fleet,
--- a/src/cassiasail/_internal/sidecar/store_view.py
+++ b/src/cassiasail/_internal/sidecar/store_view.py
@@ -22,14 +22,15 @@
 # The table in which the daemons publish their records.
 HOSTS_TABLE = "hosts"
 # How long a long poll waits for a new configuration, as a fraction of the time within
-# which it must be applied: short enough to notice a lost response in time.
-CONFIG_WAIT_FRACTION = 0.5
+# which it must be applied: short enough to notice a lost response in time, and half of
+# the maximum age, because a copy grows older with each daemon that it passes.
+CONFIG_WAIT_FRACTION = 0.375
 # A relay whose copy of the configuration is older than this is not used as a sync
 # source; a fraction of the same time.
 CONFIG_MAX_AGE_FRACTION = 0.75
 # The same times for the table of VMs. They may be long: host daemons refuse requests
 # for leaving targets, so the table is needed only to find new targets.
-HOSTS_WAIT_SECONDS = 3.0
+HOSTS_WAIT_SECONDS = 2.0
 HOSTS_MAX_AGE_SECONDS = 4.0
 # Bounds the length of the log line about routes of unknown kinds.
 MAX_KINDS_LOGGED = 5
@@ -42,7 +43,7 @@
     ``previous_record_found`` the record that an earlier incarnation of this daemon
     published, ``peer_unreachable`` the address of a VM that refused a connection.
     ``config_apply_seconds`` is the time within which a new configuration must be
-    applied.
+    applied, ``first_start`` true if the whole system has never run.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         *,
         host: str,
         config_apply_seconds: float,
+        first_start: bool,
         tables: SharedTables,
         pool: Exchanger,
         fleet: Fleet,
@@ -61,6 +63,7 @@
         random: Random,
     ) -> None:
         self._host = host
+        self._first_start = first_start
         self._tables = tables
         self._pool = pool
         self._fleet = fleet
@@ -135,6 +138,7 @@
             events=self._events,
             random=self._random,
             peers_known=starts_after,
+            first_start=self._first_start,
         )
 
     def _config_row_changed(self, row: StoredRow) -> None:
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -96,7 +96,13 @@
     """A daemon that follows the table and serves it to others."""
 
     def __init__(
-        self, store: FakeStore, order: SyncSources, times: FollowTimes = TIMES
+        self,
+        store: FakeStore,
+        order: SyncSources,
+        times: FollowTimes = TIMES,
+        *,
+        peers_known: asyncio.Event | None = None,
+        first_start: bool = False,
     ) -> None:
         self.value_by_key: dict[str, bytes] = {}
         self.applied_values: list[bytes] = []
@@ -108,6 +114,8 @@
             times=times,
             peers=lambda: self.order,
             changed=self._changed,
+            peers_known=peers_known,
+            first_start=first_start,
             unreachable=lambda address: None,
             events=null_event_log(),
             random=Random(1),
