Bound the memory of answers without end and of request bodies

Cause: the client limited only the body of one response, to 64 MB. A status line, header lines, trailers or interim responses without end grew until the timeout (55 to 244 MB in 3 s, as the issue measured), and twenty bodies had 64 MB each on a VM of 200 MB. Request bodies were bounded for each connection only.

Change: bytes outside of bodies are limited to 64 KB an exchange, header lines to 1,000, one body to 16 MB, and all bodies being read to 24 MB: the largest is dropped, its connection aborted at once and its target counted as failing. Request bodies share 24 MB as well; one that does not fit is refused with 503 and Retry-After before it is handled. A host daemon's refusal of this kind is tried elsewhere.

--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -7,6 +7,8 @@
 # Added to the remaining time of the request: the host daemon times requests out itself,
 # and its reply needs time to arrive.
 REPLY_MARGIN_SECONDS = 0.15
+# Status of a host daemon that had no memory for the body and did not read the request.
+NO_MEMORY_STATUS = 503
 # Failures after which an unsafe request may be sent a second time: the host daemon
 # recognizes its attempt id and replies to the second copy with the result of the first.
 _CONNECTION_LOST_REASONS = frozenset(
@@ -42,6 +44,8 @@
     if isinstance(result, ExchangeFailed):
         return _reply_of_failure(result)
     reply = peer_calls.decode_reply(result)
+    if reply is None and result.status == NO_MEMORY_STATUS:
+        return HostReply(outcome=HostOutcome.REFUSED, reason=HostReason.BUSY)
     if reply is None:
         return HostReply(outcome=HostOutcome.FAILED, reason=HostReason.PEER_MALFORMED)
     return reply
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -192,6 +192,11 @@
     "Routes in force whose kind this build does not know; they are unsafe.",
     registry=REGISTRY,
 )
+MESH_BODIES_REFUSED = Counter(
+    "cassiasail_mesh_bodies_refused",
+    "Requests refused because the bodies of others fill the memory for them.",
+    registry=REGISTRY,
+)
 LOG_LINES_LEFT_OUT = Counter(
     "cassiasail_log_lines_left_out",
     "Log lines not written, by reason: the rate limit of their event or a full pipe.",
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -28,6 +28,11 @@
 from ..state.calls import HostedRequest, HostReply
 from ..state.hosts import TargetState
 from ..state.mesh_config import ClientLimits
+from ..transport.http1.memory import (
+    MAX_REQUEST_BODIES_BYTES,
+    MAX_RESPONSE_BODIES_BYTES,
+    BodyMemory,
+)
 from ..transport.http1.pool import ConnectionPool
 from ..transport.http1.server import HttpServer
 from .own_target import OwnTarget
@@ -130,20 +135,24 @@
         self._background = BackgroundTasks(failed=self._background_failed)
 
     def _build_pools(self) -> None:
+        memory = BodyMemory(limit=MAX_RESPONSE_BODIES_BYTES)
         self._peer_pool = ConnectionPool(
             connect_timeout=PEER_CONNECT_TIMEOUT_SECONDS,
             ack_timeout=PEER_ACK_TIMEOUT_SECONDS,
             idle_timeout=PEER_IDLE_TIMEOUT_SECONDS,
+            memory=memory,
         )
         self._target_pool = ConnectionPool(
             connect_timeout=TARGET_CONNECT_TIMEOUT_SECONDS,
             ack_timeout=TARGET_ACK_TIMEOUT_SECONDS,
             idle_timeout=TARGET_IDLE_TIMEOUT_SECONDS,
+            memory=memory,
         )
         self._store_pool = ConnectionPool(
             connect_timeout=STORE_CONNECT_TIMEOUT_SECONDS,
             ack_timeout=STORE_ACK_TIMEOUT_SECONDS,
             idle_timeout=STORE_IDLE_TIMEOUT_SECONDS,
+            memory=memory,
         )
 
     def _build_store_components(self, tables: TableStore) -> None:
@@ -188,11 +197,12 @@
         )
 
     def _build_servers(self) -> None:
+        memory = BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
         self._clients_server = HttpServer(
-            handler=self._serve_client, limits=self._client_limits
+            handler=self._serve_client, limits=self._client_limits, memory=memory
         )
         self._peers_server = HttpServer(
-            handler=self._serve_peer, limits=_default_limits
+            handler=self._serve_peer, limits=_default_limits, memory=memory
         )
         self._heartbeats_server = HttpServer(
             handler=self._own_target.serve_heartbeat, limits=_default_limits
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -12,9 +12,20 @@
 
 from ...protocol.exchanges import ExchangeFailed, FailureReason
 from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_request
-
-# Several larger responses at a time would not fit into the memory of a small VM.
-MAX_RESPONSE_BYTES = 64 << 20
+from .memory import BodyMemory
+
+# A faulty server may send bytes without end. Larger bodies are not expected: the store
+# limits its responses to a few MB.
+MAX_RESPONSE_BYTES = 16 << 20
+# Limit of all bytes of an exchange that belong to no body: status lines, headers,
+# trailers and interim responses, which have no limit of their own in the protocol.
+MAX_RESPONSE_OVERHEAD_BYTES = 64 << 10
+# Limit of the header lines of one response, trailers included. A short line takes
+# twenty times its length in memory.
+MAX_RESPONSE_HEADERS = 1000
+# The framing of chunks adds to that limit: at most this many bytes for each byte of
+# body, which a chunk of one byte needs.
+CHUNK_FRAMING_BYTES = 6
 # A response is no longer arriving if no byte was received for this long, which is many
 # times the interval between two segments on a slow link.
 STALL_TIMEOUT_SECONDS = 0.3
@@ -23,13 +34,17 @@
 class ClientConnection(asyncio.Protocol):
     """One connection to a server; doesn't support concurrent requests."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: BodyMemory) -> None:
+        self._memory = memory
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[HttpResponse | ExchangeFailed] | None = None
         self._accept: Callable[[HttpResponse], bool] | None = None
         self._request_method = b""
+        # Bytes received in this exchange, and those of them that belong to bodies.
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self._reset_response()
         # False after unexpected bytes, a failure, or when the server closes.
         self.reusable = True
@@ -67,12 +82,19 @@
             self.close()
             return
         self._last_received_at = self._loop.time()
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self.reusable = False
             self._fail(FailureReason.MALFORMED)
-            self.close()
+            self.abort()
+            return
+        overhead = self._received_bytes - self._received_body_bytes
+        framing = CHUNK_FRAMING_BYTES * self._received_body_bytes
+        if self._waiter is not None and (
+            overhead > MAX_RESPONSE_OVERHEAD_BYTES + framing
+        ):
+            self._drop_too_large()
 
     def on_message_begin(self) -> None:
         if self._waiter is None:
@@ -83,6 +105,9 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self._headers) >= MAX_RESPONSE_HEADERS:
+            # Ends the parsing of the bytes received so far.
+            raise ValueError("response has too many header lines")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -100,12 +125,20 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
+        self._received_body_bytes += len(body)
+        if self._waiter is None:
+            return
         self._body_bytes += len(body)
         if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._fail(FailureReason.TOO_LARGE)
-            self.close()
+            self._drop_too_large()
             return
         self._body_chunks.append(body)
+        self._memory.hold(self, len(body), self._drop_too_large)
+
+    def _drop_too_large(self) -> None:
+        """Fail the exchange, free the response and close the connection at once."""
+        self._fail(FailureReason.TOO_LARGE)
+        self.abort()
 
     def on_message_complete(self) -> None:
         if self._waiter is None:
@@ -140,6 +173,7 @@
             accept,
             request.method,
         )
+        self._received_bytes = self._received_body_bytes = 0
         transport.write(encode_request(request))
         timeout = max(0.0, timeout)
         deadline = self._loop.time() + timeout + grace
@@ -151,6 +185,7 @@
             self._timer.cancel()
             if not waiter.done() or waiter.cancelled():
                 self._waiter = None
+                self._reset_response()
                 self.abort()
         if transport.get_write_buffer_size():
             # The response came before the whole request was sent. The server would
@@ -184,6 +219,7 @@
         self.abort()
 
     def _reset_response(self) -> None:
+        self._memory.release(self)
         self._status = 0
         self._reason = b""
         self._headers: list[Header] = []
@@ -200,12 +236,13 @@
             headers=tuple(self._headers),
             body=b"".join(self._body_chunks),
         )
+        self._body_chunks = []
+        self._memory.release(self)
         if self._accept is not None and not self._accept(response):
             self.reusable = False
             return
         waiter, self._waiter = self._waiter, None
         self._read_idle_timeout(response)
-        self._body_chunks = []
         if waiter is not None and not waiter.done():
             waiter.set_result(response)
 
@@ -221,23 +258,25 @@
 
     def _fail(self, reason: FailureReason) -> None:
         self.reusable = False
+        self._reset_response()
         waiter, self._waiter = self._waiter, None
         if waiter is not None and not waiter.done():
             waiter.set_result(ExchangeFailed(reason=reason, sent=True))
 
 
 async def connect(
-    host: str, port: int, *, timeout: float, ack_timeout: float
+    host: str, port: int, *, timeout: float, ack_timeout: float, memory: BodyMemory
 ) -> ClientConnection | ExchangeFailed:
     """Open a connection within ``timeout`` seconds.
 
     The kernel closes it if the server acknowledges nothing for ``ack_timeout`` seconds.
+    ``memory`` holds the body of a response while it is read.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             transport, connection = await loop.create_connection(
-                ClientConnection, host, port
+                lambda: ClientConnection(memory=memory), host, port
             )
     except (OSError, TimeoutError):
         return ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -6,6 +6,7 @@
 from ...protocol.exchanges import Address, ExchangeFailed, FailureReason
 from ...protocol.http1 import HttpRequest, HttpResponse
 from .client import ClientConnection, connect
+from .memory import MAX_RESPONSE_BODIES_BYTES, BodyMemory
 
 # A connection is not reused this close to the idle timeout that the server announced.
 IDLE_MARGIN_SECONDS = 0.5
@@ -30,12 +31,19 @@
 
     Times are in seconds: ``connect_timeout`` limits the opening of a connection,
     ``ack_timeout`` how long sent bytes may stay unacknowledged, and ``idle_timeout``
-    how long a connection may be idle and still be reused.
+    how long a connection may be idle and still be reused. ``memory`` holds the bodies
+    of the responses that are being read; several pools may share it.
     """
 
     def __init__(
-        self, *, connect_timeout: float, ack_timeout: float, idle_timeout: float
+        self,
+        *,
+        connect_timeout: float,
+        ack_timeout: float,
+        idle_timeout: float,
+        memory: BodyMemory | None = None,
     ) -> None:
+        self._memory = memory or BodyMemory(limit=MAX_RESPONSE_BODIES_BYTES)
         self._connect_timeout = connect_timeout
         self._ack_timeout = ack_timeout
         self._idle_timeout = idle_timeout
@@ -71,6 +79,7 @@
                 address.port,
                 timeout=connect_timeout,
                 ack_timeout=self._ack_timeout,
+                memory=self._memory,
             )
             if isinstance(opened, ExchangeFailed):
                 return opened
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -14,8 +14,10 @@
 
 import httptools
 
+from ... import metrics
 from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_response
 from ...state.mesh_config import ClientLimits
+from .memory import MAX_REQUEST_BODIES_BYTES, BodyMemory
 
 logger = logging.getLogger(__name__)
 
@@ -25,6 +27,9 @@
 # After the last response, the connection is still read for this long. Otherwise late
 # bytes of the client could reset it before that response has arrived.
 LINGERING_CLOSE_SECONDS = 1.0
+# Retry-After of a request whose body does not fit into memory; the others are done or
+# timed out soon.
+RETRY_BODY_SECONDS = 0.5
 # Bytes of a header line besides name and value: colon, space and line end.
 HEADER_LINE_OVERHEAD_BYTES = 4
 SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
@@ -39,12 +44,14 @@
 
     request: HttpRequest
     keep_alive: bool
+    # Key under which the memory for the body is held.
+    holder: object = None
     task: "asyncio.Task[None] | None" = None
     response: HttpResponse | None = None
     done: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True, eq=False)
 class _PartialRequest:
     """A request that is being read."""
 
@@ -57,6 +64,8 @@
     header_bytes_parsed: int = 0
     header_bytes_received: int = 0
     body_bytes: int = 0
+    # Body bytes for which memory is held; the whole length if it was announced.
+    held_bytes: int = 0
     header_complete: bool = False
 
 
@@ -64,11 +73,20 @@
     """A listener and its connections.
 
     ``handler`` returns the response, or None to abort the connection without one.
+    ``memory`` holds the bodies of requests without a response; servers may share it. A
+    request whose body does not fit gets 503 and is not handled.
     """
 
-    def __init__(self, *, handler: Handler, limits: Callable[[], ClientLimits]) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: Callable[[], ClientLimits],
+        memory: BodyMemory | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.memory = memory or BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -134,10 +152,7 @@
         self._closing = True
         if self._timer is not None:
             self._timer.cancel()
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
+        self._cancel_exchanges()
 
     def eof_received(self) -> bool:
         # A client that closes its connection no longer waits for responses.
@@ -157,7 +172,7 @@
             cause = error.__context__
             if not isinstance(cause, _RejectedError):
                 raise
-            self._reject(cause.status)
+            self._reject(cause.status, cause.headers)
         except httptools.HttpParserError:
             # Bytes after a request with "Connection: close" are ignored.
             if not (self._exchanges and not self._exchanges[-1].keep_alive):
@@ -198,6 +213,7 @@
         partial.body_bytes += len(body)
         if partial.body_bytes > self._server.limits().body_bytes:
             raise _RejectedError(413)
+        self._hold_body(partial, partial.body_bytes)
         partial.body_chunks.append(body)
         # The timeout of a body restarts with each part received.
         self._start_timer(self._server.limits().idle_seconds, self._request_timed_out)
@@ -214,7 +230,9 @@
             arrived=partial.arrived_at,
         )
         keep_alive = self._parser.should_keep_alive()
-        self._exchanges.append(_Exchange(request=request, keep_alive=keep_alive))
+        self._exchanges.append(
+            _Exchange(request=request, keep_alive=keep_alive, holder=partial)
+        )
         self._stop_timer()
         self._start_runnable()
         if len(self._exchanges) >= MAX_PIPELINED and self._transport is not None:
@@ -254,6 +272,17 @@
         ]
         if lengths and int(lengths[0]) > self._server.limits().body_bytes:
             raise _RejectedError(413)
+        if lengths:
+            self._hold_body(partial, int(lengths[0]))
+
+    def _hold_body(self, partial: _PartialRequest, size: int) -> None:
+        """Hold memory for ``size`` bytes of the body, or reject the request."""
+        if size <= partial.held_bytes:
+            return
+        if not self._server.memory.try_hold(partial, size - partial.held_bytes):
+            metrics.MESH_BODIES_REFUSED.inc()
+            raise _RejectedError(503, ((b"retry-after", b"%.1f" % RETRY_BODY_SECONDS),))
+        partial.held_bytes = size
 
     @staticmethod
     def _convert_absolute_target(partial: _PartialRequest) -> None:
@@ -300,6 +329,7 @@
             if self._closing:
                 return
             exchange = self._exchanges.popleft()
+            self._server.memory.release(exchange.holder)
             if exchange.response is None:
                 transport.abort()
                 return
@@ -327,15 +357,15 @@
             transport.resume_reading()
         self._start_idle_timer()
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, headers: tuple[Header, ...] = ()) -> None:
         """Respond with ``status`` after the pending responses, then close."""
         if self._closing:
             return
         request = HttpRequest(method=b"GET", target=b"/", headers=())
         exchange = _Exchange(request=request, keep_alive=False)
-        exchange.response = HttpResponse(status=status)
+        exchange.response = HttpResponse(status=status, headers=headers)
         exchange.done = True
-        self._partial = None
+        self._drop_partial()
         self._exchanges.append(exchange)
         self._stop_timer()
         self._write_finished()
@@ -358,6 +388,20 @@
     def _request_timed_out(self) -> None:
         self._reject(408)
 
+    def _drop_partial(self) -> None:
+        partial, self._partial = self._partial, None
+        if partial is not None:
+            self._server.memory.release(partial)
+
+    def _cancel_exchanges(self) -> None:
+        """Cancel requests whose response was not written yet."""
+        self._drop_partial()
+        for exchange in self._exchanges:
+            self._server.memory.release(exchange.holder)
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._exchanges.clear()
+
     def close_gracefully(self) -> None:
         """Close the connection after the written bytes; discard what still arrives.
 
@@ -366,10 +410,7 @@
         if self._closing or self._transport is None:
             return
         self._closing = True
-        for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
+        self._cancel_exchanges()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         if self._reading_paused:
@@ -380,6 +421,7 @@
 class _RejectedError(Exception):
     """Raised in parser callbacks to reject a request with ``status``."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, headers: tuple[Header, ...] = ()) -> None:
         super().__init__(status)
         self.status = status
+        self.headers = headers
