Do not run the second copy of a request after a restart

Cause: after a lost connection an unsafe request is sent to its host daemon again, which joins the copies by attempt id. A daemon that restarted in between, or dropped the result after 10 s, knows nothing and ran it a second time: a VM without power answers nothing until the connection times out, about when its daemon is back. A request without attempt id was sent again as well. The copy also had the whole deadline again.

Change: the copy carries the time since the first one, on a clock that counts suspension. A daemon that was not running, or not keeping results, for that time plus 2 s reports the outcome as unknown. No copy without attempt id; less time in the copy.

--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -41,6 +41,9 @@
 RESPONSE_MARGIN_SECONDS = 0.1
 # How long results of unsafe requests are kept, as the entry daemon may still retry.
 KEEP_RESULT_SECONDS = 10.0
+# A second copy of an unsafe request is accepted only by a daemon that was running this
+# much longer than the time since the first copy, which may take as long to arrive.
+RESENT_TRANSIT_SECONDS = 2.0
 # An unsafe request in the queue is cancelled this long after the connection of its
 # entry daemon was lost. A connected entry daemon retries sooner on a new connection.
 RECONNECT_SECONDS = 0.3
@@ -153,6 +156,7 @@
         self._crash_evidence = CrashEvidence()
         self._events = events
         self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
         self._heartbeat: TargetHeartbeat | None = None
         # Latest heartbeat received, kept while there is no target.
         self._last_heartbeat: TargetHeartbeat | None = None
@@ -242,6 +246,9 @@
         """Execute an unsafe request, or wait for the result of its first copy."""
         attempt_id = hosted.request.attempt_id
         execution = self._execution_by_attempt_id.get(attempt_id)
+        if execution is None and self._may_have_forgotten(hosted):
+            self._events.write("resent_request_unknown", attempt=attempt_id)
+            return HostReply(outcome=HostOutcome.FAILED, reason=HostReason.PEER_LOST)
         if execution is None:
             # The task needs ``execution`` before it starts, to mark the dispatch in it.
             execution = _UnsafeExecution()
@@ -266,6 +273,17 @@
                     RECONNECT_SECONDS, self._cancel_if_abandoned, execution, task
                 )
 
+    def _may_have_forgotten(self, hosted: HostedRequest) -> bool:
+        """Return whether the first copy of a request may have run without a trace.
+
+        This daemon may have started after it, or have dropped its result.
+        """
+        if hosted.resent_after is None:
+            return False
+        first_copy_age = hosted.resent_after + RESENT_TRANSIT_SECONDS
+        uptime = self._loop.time() - self._started_at
+        return first_copy_age > min(uptime, KEEP_RESULT_SECONDS)
+
     @staticmethod
     def _cancel_if_abandoned(
         execution: _UnsafeExecution, task: "asyncio.Task[HostReply]"
--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -1,5 +1,8 @@
 """Forwards a request to a host daemon and decodes its reply."""
 
+from dataclasses import replace
+
+from ...clock import Clock
 from ...protocol import peer_calls
 from ...protocol.exchanges import Address, ExchangeFailed, Exchanger, FailureReason
 from ...state.calls import HostedRequest, HostOutcome, HostReason, HostReply
@@ -17,17 +20,29 @@
 
 
 async def forward(
-    pool: Exchanger, address: Address, hosted: HostedRequest
+    pool: Exchanger, address: Address, hosted: HostedRequest, *, clock: Clock
 ) -> HostReply:
     """Forward ``hosted`` to the host daemon at ``address`` and return its reply.
 
     An unsafe request whose connection is lost is sent once more. This can't execute it
-    twice, because the host daemon runs each attempt id only once.
+    twice, because the host daemon runs each attempt id only once, and a copy that an
+    earlier incarnation of it may have run not at all.
     """
+    sent_at = clock.now()
     reply = await _forward_once(pool, address, hosted)
-    if hosted.safe or reply.reason is not HostReason.PEER_LOST:
+    if reply.reason is not HostReason.PEER_LOST:
+        return reply
+    if hosted.safe or not hosted.request.attempt_id:
+        return reply
+    resent_after = clock.now() - sent_at
+    copy = replace(
+        hosted,
+        resent_after=resent_after,
+        remaining_time=hosted.remaining_time - resent_after,
+    )
+    if copy.remaining_time <= 0:
         return reply
-    second = await _forward_once(pool, address, hosted)
+    second = await _forward_once(pool, address, copy)
     # The first copy may have been executed, so its reply is returned if the second copy
     # could not be sent.
     return reply if second.reason is HostReason.PEER_UNREACHABLE else second
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -2,10 +2,11 @@
 
 A forwarded request keeps its method, path, headers and body. The header ``cs-call``
 adds the fields from which the host daemon decides whether and when to dispatch the
-request. ``cs-retry`` is set for one that was already dispatched to another target; it
-is a header of its own because builds without it accept a fixed number of fields in
-``cs-call``. The header ``cs-reply`` of the response carries the outcome and the load
-report of the target. Fields are separated by commas; those of ``cs-call`` are
+request. ``cs-retry`` is set for one that was already dispatched to another target, and
+``cs-resent`` for the second copy of a request, with the milliseconds since the first.
+They are headers of their own because builds without them accept a fixed number of
+fields in ``cs-call``. The header ``cs-reply`` of the response carries the outcome and
+the load report of the target. Fields are separated by commas; those of ``cs-call`` are
 percent-encoded.
 """
 
@@ -21,14 +22,15 @@
     HostReply,
     TargetResponse,
 )
-from .http1 import HttpRequest, HttpResponse
+from .http1 import Header, HttpRequest, HttpResponse
 
 CALL_HEADER = b"cs-call"
 REPLY_HEADER = b"cs-reply"
 RETRY_HEADER = b"cs-retry"
+RESENT_HEADER = b"cs-resent"
 _HOST = b"host"
 _ADDED_REQUEST_HEADERS = frozenset(
-    (CALL_HEADER, RETRY_HEADER, _HOST, b"content-length")
+    (CALL_HEADER, RETRY_HEADER, RESENT_HEADER, _HOST, b"content-length")
 )
 _ADDED_REPLY_HEADERS = frozenset(
     (REPLY_HEADER, b"content-length", b"connection", b"keep-alive")
@@ -58,11 +60,14 @@
     )
     value = ",".join(quote(each, safe="") for each in fields).encode()
     retry = ((RETRY_HEADER, _TRUE.encode()),) if hosted.retry else ()
-    headers = ((_HOST, request.host.encode()), (CALL_HEADER, value), *retry)
+    resent: tuple[Header, ...] = ()
+    if hosted.resent_after is not None:
+        resent = ((RESENT_HEADER, b"%d" % int(hosted.resent_after * 1000)),)
+    own_headers = ((_HOST, request.host.encode()), (CALL_HEADER, value))
     return HttpRequest(
         method=request.method,
         target=request.request_target,
-        headers=headers + request.headers,
+        headers=(*own_headers, *retry, *resent, *request.headers),
         body=request.body,
     )
 
@@ -85,6 +90,7 @@
             client_service,
             attempt_id,
         ) = fields
+        resent_ms = request.header(RESENT_HEADER)
         headers = tuple(
             pair for pair in request.headers if pair[0] not in _ADDED_REQUEST_HEADERS
         )
@@ -107,6 +113,7 @@
             safe=safe == _TRUE,
             late=late == _TRUE,
             retry=request.header(RETRY_HEADER) is not None,
+            resent_after=None if resent_ms is None else int(resent_ms) / 1000,
             remaining_time=int(remaining_ms) / 1000,
             max_wait=int(max_wait_ms) / 1000,
         )
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -12,6 +12,7 @@
 from ...platform.table_store import TableStore
 from .. import metrics
 from ..background import BackgroundTasks
+from ..clock import SystemClock
 from ..coordination.mesh import peers
 from ..coordination.mesh.balancing import Fleet, HostView
 from ..coordination.mesh.budget import RetryBudget
@@ -91,6 +92,7 @@
         self._events = events
         self._loop = asyncio.get_running_loop()
         self._random = Random()
+        self._clock = SystemClock()
         self._stopping = False
         self._refusing_clients = False
         self._build_pools()
@@ -345,7 +347,9 @@
         """Dispatch ``hosted`` to this VM's target or forward it to its host daemon."""
         if host_view.record.host == self._settings.host:
             return await self._dispatcher.execute(hosted)
-        return await peers.forward(self._peer_pool, host_view.address, hosted)
+        return await peers.forward(
+            self._peer_pool, host_view.address, hosted, clock=self._clock
+        )
 
     def _peer_unreachable(self, address: Address) -> None:
         """Mark the VMs with this address as suspect."""
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -39,6 +39,8 @@
     that the request may wait for a slot, both in seconds. ``late`` marks a request that
     will probably miss the latency objective of its route. A ``safe`` request may be
     executed more than once. A ``retry`` was already dispatched to a target before.
+    ``resent_after`` is set for a second copy, sent because the connection of the first
+    was lost: the seconds between the two.
     """
 
     request: ClientRequest
@@ -50,6 +52,7 @@
     remaining_time: float
     max_wait: float
     retry: bool = False
+    resent_after: float | None = None
 
 
 class HostOutcome(Enum):
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -4,11 +4,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+import pytest
+
+from cassiasail._internal.coordination.mesh import peers
 from cassiasail._internal.coordination.mesh.crashes import (
     CrashHistory,
     request_fingerprint,
 )
-from cassiasail._internal.coordination.mesh.hosting import TargetDispatcher
+from cassiasail._internal.coordination.mesh.hosting import (
+    KEEP_RESULT_SECONDS,
+    TargetDispatcher,
+)
 from cassiasail._internal.coordination.mesh.registration import TargetHeartbeat
 from cassiasail._internal.ids import ServiceName, TargetId
 from cassiasail._internal.protocol import peer_calls
@@ -27,6 +33,8 @@
 )
 from cassiasail._internal.state.hosts import TargetCrash
 from cassiasail.platform.requests import TARGET_CODEC
+from devtools.virtual_loop import VirtualLoop
+from tests.lib.clocks import VirtualClock
 from tests.lib.events import null_event_log
 
 SERVICE = ServiceName("one")
@@ -72,6 +80,7 @@
     result: HttpResponse | ExchangeFailed = OK
     seconds: float = 0.05
     requests: list[HttpRequest] = field(default_factory=list)
+    on_request: Callable[[], None] = lambda: None
 
     async def exchange(
         self,
@@ -79,10 +88,11 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool],
-        max_idle: float | None,
+        accept: Callable[[HttpResponse], bool] | None = None,
+        max_idle: float | None = None,
     ) -> HttpResponse | ExchangeFailed:
         self.requests.append(request)
+        self.on_request()
         await asyncio.sleep(self.seconds)
         return self.result
 
@@ -121,6 +131,73 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("uptime", "resent_after", "runs"),
+    [
+        # The first copy may have run before a restart of this daemon.
+        (1.0, 5.0, False),
+        (4.0, 2.5, False),
+        # It may have run here, and its result was dropped since.
+        (60.0, KEEP_RESULT_SECONDS, False),
+        (60.0, 1.2, True),
+    ],
+)
+def test_second_copy_runs_only_if_the_first_would_be_known(
+    uptime: float, resent_after: float, runs: bool
+) -> None:
+    """Guards against a second run of a request whose answer was lost.
+
+    A VM that loses power answers nothing, so the entry daemon sends the request again
+    about when the daemon there is back, which knows nothing of the first copy.
+    """
+
+    async def main() -> None:
+        pool = FakeTargetPool()
+        dispatcher = dispatcher_for(pool)
+        await asyncio.sleep(uptime)
+        reply = await dispatcher.execute(replace(UNSAFE, resent_after=resent_after))
+        assert len(pool.requests) == runs
+        expected = HostOutcome.ANSWERED if runs else HostOutcome.FAILED
+        assert reply.outcome is expected
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(main())
+
+
+@pytest.mark.parametrize(("attempt_id", "copies"), [("id-1", 2), ("", 1)])
+def test_lost_request_is_sent_again_with_the_time_since_the_first_copy(
+    attempt_id: str, copies: int
+) -> None:
+    """Guards against copies that the host daemon can't tell from new requests.
+
+    Without an attempt id it can't recognize them at all.
+    """
+
+    async def main() -> None:
+        lost = ExchangeFailed(reason=FailureReason.RESET, sent=True)
+        pool = FakeTargetPool(result=lost, seconds=0.4)
+        clock = VirtualClock()
+        pool.on_request = lambda: clock.advance(0.4)
+        hosted = replace(UNSAFE, request=replace(REQUEST, attempt_id=attempt_id))
+        reply = await peers.forward(
+            pool,  # type: ignore[arg-type]
+            Address("10.0.0.1", 80),
+            hosted,
+            clock=clock,
+        )
+        assert reply.outcome is HostOutcome.FAILED
+        received = [peer_calls.decode_request(each) for each in pool.requests]
+        assert len(received) == copies
+        assert received[0] is not None and received[0].resent_after is None
+        if copies == 2:
+            assert received[1] is not None
+            assert received[1].resent_after == pytest.approx(0.4, abs=0.01)
+            assert received[1].remaining_time == pytest.approx(1.6, abs=0.01)
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(main())
+
+
 def test_dispatched_unsafe_request_is_not_cancelled() -> None:
     """Guards against an execution that stops halfway when the client disconnects."""
 
