--- a/src/cassiasail/_internal/coordination/attachment.py
+++ b/src/cassiasail/_internal/coordination/attachment.py
@@ -117,10 +117,6 @@
             return 0.0
         return max(0.0, self._links.clock.now() - self._alone_since)
 
-    def seed_responded(self, retry_after: float) -> None:
-        """Restart the time alone: a seed or contact has room in ``retry_after`` s."""
-        self._alone_since = self._links.clock.now() + retry_after
-
     def is_parent_candidate(self, record: MemberRecord) -> bool:
         """Return whether ``record`` may become the parent in the current tree."""
         return record.id in self._parent_candidates()
--- a/src/cassiasail/_internal/coordination/links.py
+++ b/src/cassiasail/_internal/coordination/links.py
@@ -145,10 +145,6 @@
         """Yield the links to the children in the relay tree."""
         return (link for link in self.identified() if link.role is LinkRole.CHILD)
 
-    def tree_links(self) -> Iterator[PeerLink]:
-        """Yield the links to the parent and the children."""
-        return (link for link in self.identified() if link.role is not LinkRole.PEER)
-
     def link_to(self, daemon: DaemonId) -> PeerLink | None:
         """Return a link to ``daemon``, preferably one of the relay tree."""
         links = [link for link in self.identified() if link.daemon == daemon]
--- a/src/cassiasail/_internal/coordination/notices.py
+++ b/src/cassiasail/_internal/coordination/notices.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from absl import logging
+
 from ..protocol.messages import Notice
 from .links import Links, PeerLink
 
@@ -32,7 +34,17 @@
         self._notice_by_id: dict[bytes, _StoredNotice] = {}
 
     def publish(self, *, kind: str, payload: bytes, ttl: float) -> bytes:
-        """Send a new notice to all daemons; return its id."""
+        """Send a new notice to all daemons; return its id.
+
+        If too many are stored, it replaces the one that expires first: a decision of
+        this daemon must reach the others.
+        """
+        if len(self._notice_by_id) >= MAX_NOTICES:
+            first = min(
+                self._notice_by_id, key=lambda each: self._notice_by_id[each].expires_at
+            )
+            del self._notice_by_id[first]
+            logging.warning("too many notices; dropped the one that expires first")
         notice_id = self._links.rng.randbytes(8)
         self._store(
             Notice(notice_id, kind, payload, int(min(ttl, MAX_TTL_SECONDS) * 1000))
--- a/src/cassiasail/_internal/state/token_cache.py
+++ b/src/cassiasail/_internal/state/token_cache.py
@@ -285,14 +285,17 @@
 
     def requeue_reports(self, reports: Sequence[UsageReport]) -> None:
         """Queue reports that were not delivered, unless newer ones are queued."""
-        until = self._clock.now() + TOKEN_VALIDITY_SECONDS
+        now = self._clock.now()
         for report in reports:
             grant_id = (report.shard, report.serial)
             # The owner counts permits for longer than tokens, so a report that returns
             # permits is retried for longer.
-            if report.permits_returned:
-                until = self._clock.now() + self._permit_validity / 2
-            self._report_by_id.setdefault(grant_id, (report, until))
+            seconds = (
+                self._permit_validity / 2
+                if report.permits_returned
+                else TOKEN_VALIDITY_SECONDS
+            )
+            self._report_by_id.setdefault(grant_id, (report, now + seconds))
 
     def shards_with_reports(self) -> set[ShardId]:
         """Return the shards that queued reports are about."""
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -274,6 +274,12 @@
             raise _RejectedError(413)
         if lengths:
             self._hold_body(partial, int(lengths[0]))
+        codings = [
+            value for name, value in partial.headers if name == b"transfer-encoding"
+        ]
+        if codings and b",".join(codings).strip().lower() != b"chunked":
+            # The body would be forwarded without the coding that was not undone.
+            raise _RejectedError(501)
 
     def _hold_body(self, partial: _PartialRequest, size: int) -> None:
         """Hold memory for ``size`` bytes of the body, or reject the request."""
--- a/tests/unit/mesh/test_http1_server.py
+++ b/tests/unit/mesh/test_http1_server.py
@@ -117,6 +117,11 @@
             b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
             400,
         ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\n"
+            b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            501,
+        ),
         (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 1500 + b"\r\n\r\n", 431),
         (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 5000, 431),
         (b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2001\r\n\r\n", 413),
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -408,3 +408,15 @@
         except ProtocolError:
             continue
         assert message_read.to_wire() == malformed
+
+
+def test_requeued_report_keeps_its_own_time() -> None:
+    """Guards against a report that is retried for as long as the one before it."""
+    clock = VirtualClock()
+    cache = TokenCache(clock=clock, permit_validity=100.0)
+    with_permits = UsageReport("requester", 1, SHARD, 0, 0, 5)
+    tokens_only = UsageReport("requester", 2, SHARD, 0, 5, 0)
+    cache.requeue_reports([with_permits, tokens_only])
+    clock.advance(TOKEN_VALIDITY_SECONDS + 1)
+    cache.collect_reports()
+    assert set(cache._report_by_id) == {(SHARD, 1)}
