Give a new system its whole retry budget at its first start

The unit tests had been given a window's time, which hid it.

Change: the budget is whole if the platform says that the system has never run, when nothing can have been spent.

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -198,6 +198,8 @@
         self.health_check_always_ready = False
         self.slots = 4
         self.retry_slack = 62
+        # Whether the platform tells the daemon that the system has never run.
+        self.first_start = False
         self.address_by_use = {
             use: Address(HOST, free_port())
             for use in ("inbound", "outbound", "readiness", "admin", "target")
@@ -386,6 +388,7 @@
 [self]
 node = "{self.name}"
 bindIp = "{HOST}"
+bootstrap = {str(self.first_start).lower()}
 zone = "dc"
 region = "region"
 appAddr = "{address["target"]}"
--- a/src/cassiasail/_internal/coordination/mesh/budget.py
+++ b/src/cassiasail/_internal/coordination/mesh/budget.py
@@ -19,9 +19,9 @@
 # Share of the budget that is spent. The rest is a reserve for calls of retried runs
 # that enter at daemons without budget left, and for an outdated number of daemons.
 SPENDABLE_SHARE = 0.6
-# The same share during the first window after a start. The daemon doesn't know what it
-# spent before a restart, and all daemons may restart together.
-SPENDABLE_SHARE_AFTER_START = 0.2
+# The same share during the first window after a restart. The daemon doesn't know what
+# it spent before, and all daemons may restart together.
+SPENDABLE_SHARE_AFTER_RESTART = 0.2
 
 
 class _EventWindow:
@@ -49,14 +49,19 @@
 
 
 class RetryBudget:
-    """Limits the retries of this daemon by service; ``window`` is in seconds."""
+    """Limits the retries of this daemon by service; ``window`` is in seconds.
 
-    def __init__(self, *, ratio: float, slack: float, window: float) -> None:
+    ``first_start`` is true if the system has never run, so that nothing was spent.
+    """
+
+    def __init__(
+        self, *, ratio: float, slack: float, window: float, first_start: bool = False
+    ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window = window
         self._loop = asyncio.get_running_loop()
-        self._started_at = self._loop.time()
+        self._restarted_at = float("-inf") if first_start else self._loop.time()
         self._requests_by_service: dict[ServiceName, _EventWindow] = {}
         self._retries_by_service: dict[ServiceName, _EventWindow] = {}
 
@@ -86,9 +91,9 @@
         retries = self._retries_by_service.setdefault(service, _EventWindow())
         earned = self._ratio * requests.sum(now, self._window)
         used = retries.sum(now, self._window)
-        if now - self._started_at < self._window:
-            # The slack may have been spent before a restart.
-            return SPENDABLE_SHARE_AFTER_START * earned - used
+        if now - self._restarted_at < self._window:
+            # The slack may have been spent before the restart.
+            return SPENDABLE_SHARE_AFTER_RESTART * earned - used
         return SPENDABLE_SHARE * (earned + self._slack / max(1, daemons)) - used
 
     def spend_retry(self, service: ServiceName, daemons: int) -> bool:
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -120,6 +120,7 @@
             ratio=settings.retry_ratio,
             slack=settings.retry_slack,
             window=settings.retry_window_seconds,
+            first_start=settings.first_start,
         )
         self._router = RequestRouter(
             config=lambda: self._store_view.config,
