Log the requests that a stopping daemon leaves unanswered

A daemon that ends at the end of its grace wrote only how many requests were in flight. A request served at its first attempt has no line at all, so the logs could not tell a request whose target was still at work from one whose answer was ready and not written.

Change: one line unanswered_at_stop for each client's request that has no written answer when the grace is over, with its attempt id, its position on its connection and whether its answer is ready.

--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -271,6 +271,7 @@
         self._clients_server.close_listener()
         while self._in_flight() and self._loop.time() < deadline:
             await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
+        self._log_unanswered()
         self._events.write(
             "stopped",
             in_flight=self._in_flight(),
@@ -283,6 +284,18 @@
         # Let the transports flush the last responses.
         await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
 
+    def _log_unanswered(self) -> None:
+        """Log each request of a client that is not answered when the daemon stops."""
+        for unanswered in self._clients_server.unanswered():
+            request = unanswered.request
+            self._events.write(
+                "unanswered_at_stop",
+                attempt=requests.attempt_id_of(request),
+                has_response=unanswered.has_response,
+                position=unanswered.position,
+                age_ms=int((self._loop.time() - request.arrived) * 1000),
+            )
+
     def reload(self, settings: SidecarSettings) -> None:
         """Apply changed settings that don't require a restart.
 
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from urllib.parse import urlsplit
 
@@ -51,6 +51,19 @@
     done: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnansweredRequest:
+    """A complete request whose response was not written yet.
+
+    ``position`` is the number of requests before it on its connection that are not
+    answered either. ``has_response`` is true if its response waits only for theirs.
+    """
+
+    request: HttpRequest
+    position: int
+    has_response: bool
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class _PartialRequest:
     """A request that is being read."""
@@ -96,6 +109,11 @@
         """Number of requests whose response was not written yet."""
         return sum(connection.in_flight for connection in self.connections)
 
+    def unanswered(self) -> Iterator[UnansweredRequest]:
+        """Yield the requests whose response was not written yet."""
+        for connection in tuple(self.connections):
+            yield from connection.unanswered()
+
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host`` and ``port``."""
         loop = asyncio.get_running_loop()
@@ -139,6 +157,15 @@
         """Number of complete requests whose response was not written yet."""
         return len(self._exchanges)
 
+    def unanswered(self) -> Iterator[UnansweredRequest]:
+        """Yield the complete requests whose response was not written yet."""
+        for position, exchange in enumerate(self._exchanges):
+            yield UnansweredRequest(
+                request=exchange.request,
+                position=position,
+                has_response=exchange.done,
+            )
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/cassiasail/platform/requests.py
+++ b/src/cassiasail/platform/requests.py
@@ -48,7 +48,7 @@
     if colon and port.isdigit():
         host = name
     return ClientRequest(
-        attempt_id=(request.header(_ATTEMPT_ID) or b"").decode("latin-1"),
+        attempt_id=attempt_id_of(request),
         method=request.method,
         host=host,
         request_target=request.target,
@@ -60,6 +60,11 @@
     )
 
 
+def attempt_id_of(request: HttpRequest) -> str:
+    """Return the attempt id of a client's request, empty without one."""
+    return (request.header(_ATTEMPT_ID) or b"").decode("latin-1")
+
+
 def _decode_deadline(value: bytes | None) -> float | None:
     """Return the remaining seconds, None if the header is missing or malformed."""
     if value is None:
