--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -200,6 +200,8 @@
         self.retry_slack = 62
         # Whether the platform tells the daemon that the system has never run.
         self.first_start = False
+        # Seconds from SIGTERM until the platform kills the daemon.
+        self.grace_seconds = 6
         self.address_by_use = {
             use: Address(HOST, free_port())
             for use in ("inbound", "outbound", "readiness", "admin", "target")
@@ -406,7 +408,7 @@
 address = "{self.store_address}"
 [terms.bounds]
 drainMs = 2000
-graceS = 6
+graceS = {self.grace_seconds}
 configApplyMs = 2000
 retryBudgetRatio = 0.2
 budgetSlack = {self.retry_slack}
--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 from aiohttp import web
@@ -27,14 +28,18 @@
 
 @asynccontextmanager
 async def mesh(
-    directory: Path, *services: str, first_start: bool = False
+    directory: Path,
+    *services: str,
+    first_start: bool = False,
+    grace_seconds: int = 6,
+    routes: dict[str, Any] = ROUTES,
 ) -> AsyncIterator[tuple[PlatformStore, list[Sidecar]]]:
     """Run one sidecar and target per service; yield when all are ready.
 
     Only at its ``first_start`` a system has its whole retry budget at once.
     """
     store = PlatformStore()
-    store.put("op", "config", configuration(1, ROUTES))
+    store.put("op", "config", configuration(1, routes))
     await store.start()
     sidecars = [
         Sidecar(store=store, name=f"vm-{number}", service=service)
@@ -43,6 +48,7 @@
     try:
         for sidecar in sidecars:
             sidecar.first_start = first_start
+            sidecar.grace_seconds = grace_seconds
             await sidecar.start_target()
             await sidecar.start_daemon(directory)
         for sidecar in sidecars:
