Send finished answers at a planned stop, and answer unfinished requests

Cause: head-of-line blocking. Some clients pipeline safe requests. Answers are sent in the order of the requests, so a finished answer waits for an earlier request on its connection. If that one was still at its target when the grace was over, the daemon exited and dropped the finished answers with it. A stopping daemon also went on to forward requests behind an unfinished one.

Change: at the end of the grace, the unfinished requests of clients get 502, which promises nothing, and the finished answers behind them follow. The daemon waits up to 0.15 s until the clients have closed. While it stops, it forwards no request that is pipelined behind another: the answer before it closes the connection, so the client sends the request again.

--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -17,7 +17,7 @@
 from ..coordination.mesh.balancing import Fleet, HostView
 from ..coordination.mesh.budget import RetryBudget
 from ..coordination.mesh.crashes import CrashHistory
-from ..coordination.mesh.entry import RequestRouter
+from ..coordination.mesh.entry import OutcomeUnknown, RequestRouter
 from ..coordination.mesh.hosting import TargetDispatcher
 from ..coordination.mesh.probing import SuspectProber
 from ..coordination.mesh.pruning import RecordPruner
@@ -26,7 +26,7 @@
 from ..protocol import peer_calls, table_sync
 from ..protocol.exchanges import Address
 from ..protocol.http1 import HttpRequest, HttpResponse
-from ..state.calls import HostedRequest, HostReply
+from ..state.calls import HostedRequest, HostReason, HostReply
 from ..state.hosts import TargetState
 from ..state.mesh_config import ClientLimits
 from ..transport.http1.memory import (
@@ -64,9 +64,13 @@
 # Long polls for changes follow each other closely, so a connection that is idle for
 # longer is no longer needed.
 STORE_IDLE_TIMEOUT_SECONDS = 5.0
-# The daemon stops this long before SIGKILL is due, even with requests in flight: on a
-# VM with 0.4 cores, process exit takes up to 0.3 s.
+# The daemon stops this long before SIGKILL is due, even with requests in flight: the
+# last responses are sent, and on a VM with 0.4 cores, process exit takes up to 0.3 s.
 KILL_MARGIN_SECONDS = 0.5
+# How long the daemon waits before it exits for clients to receive their last responses
+# and to close the connections. Unread bytes of a client at the exit would reset its
+# connection, and responses on the way would be lost.
+LAST_RESPONSES_SECONDS = 0.15
 # A stopping daemon accepts clients for this long. Clients stop using it after two
 # failed readiness checks, one a second, and may connect until then. A request that
 # arrives later might not finish before the process exits.
@@ -253,7 +257,8 @@
 
         Marks the target as suspended and accepts clients a little longer, because they
         notice the shutdown late. Then refuses new requests and waits for those in
-        flight, but not beyond the deadline of the grace period.
+        flight, but not beyond the deadline of the grace period: clients whose requests
+        are not finished by then get a response that promises nothing.
         """
         started_at = self._loop.time()
         self._stopping = True
@@ -277,12 +282,27 @@
             in_flight=self._in_flight(),
             took_ms=int((self._loop.time() - started_at) * 1000),
         )
+        self._clients_server.abandon(self._unfinished_response)
         for server in (self._clients_server, self._peers_server):
             await server.stop()
         self._background.cancel()
         self._prober.stop()
-        # Let the transports flush the last responses.
+        await self._wait_for_last_responses()
+
+    async def _wait_for_last_responses(self) -> None:
+        """Wait until all clients have closed their connections, for a limited time."""
+        deadline = self._loop.time() + LAST_RESPONSES_SECONDS
+        # The peers' connections get at least one interval to be flushed.
         await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
+        while self._clients_server.connections and self._loop.time() < deadline:
+            await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
+
+    @staticmethod
+    def _unfinished_response(request: HttpRequest) -> HttpResponse:
+        """Return the response to a request that a target may be running."""
+        return requests.encode_client_response(
+            OutcomeUnknown(reason=HostReason.LEAVING), requests.attempt_id_of(request)
+        )
 
     def _log_unanswered(self) -> None:
         """Log each request of a client that is not answered when the daemon stops."""
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -2,7 +2,8 @@
 
 Pipelined requests run concurrently if their method is safe; the responses keep the
 order of the requests. After a response with ``Connection: close``, no further request
-of the connection is started.
+of the connection is started. A draining server starts none behind another request,
+because its response may become due only after the process has to exit.
 """
 
 import asyncio
@@ -122,16 +123,24 @@
         )
 
     def drain(self) -> None:
-        """Respond with ``Connection: close`` from now on; keep listening."""
+        """Close each connection after its started requests; keep listening."""
         self.draining = True
 
+    def abandon(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
+        """Cancel all handlers and send what ``respond`` returns for their requests.
+
+        Responses that are ready but wait for an earlier one are sent as well.
+        """
+        for connection in tuple(self.connections):
+            connection.abandon(respond)
+
     def close_listener(self) -> None:
         """Accept no new connections; open ones continue."""
         if self._server is not None:
             self._server.close()
 
     async def stop(self) -> None:
-        """Close the listener and idle connections; don't abort requests in flight."""
+        """Close the listener and idle connections; leave requests in flight."""
         self.close_listener()
         for connection in tuple(self.connections):
             if not connection.in_flight:
@@ -166,6 +175,15 @@
                 has_response=exchange.done,
             )
 
+    def abandon(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
+        """Respond to the started requests now; see ``HttpServer.abandon``."""
+        for exchange in self._exchanges:
+            if exchange.task is not None and not exchange.done:
+                exchange.task.cancel()
+                exchange.response = respond(exchange.request)
+                exchange.done = True
+        self._write_finished()
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -337,10 +355,14 @@
         """Start the requests that may run now.
 
         Safe requests run concurrently with earlier ones. Any other request waits until
-        it is the first, because an earlier response may close the connection.
+        it is the first, because an earlier response may close the connection. The
+        responses of a draining server do, so every request has to be the first.
         """
         for position, exchange in enumerate(self._exchanges):
-            if position and exchange.request.method not in SAFE_METHODS:
+            may_overlap = (
+                exchange.request.method in SAFE_METHODS and not self._server.draining
+            )
+            if position and not may_overlap:
                 return
             if exchange.task is None and not exchange.done:
                 exchange.task = self._loop.create_task(self._handle(exchange))
@@ -367,7 +389,7 @@
                 transport.abort()
                 return
             close = not exchange.keep_alive or (
-                self._server.draining and not self._exchanges and not self._partial
+                self._server.draining and not self._has_started_request()
             )
             limits = self._server.limits()
             transport.write(
@@ -390,6 +412,16 @@
             transport.resume_reading()
         self._start_idle_timer()
 
+    def _has_started_request(self) -> bool:
+        """Return whether the next response belongs to a started or rejected request.
+
+        Requests are started in their order, so later ones were not started either.
+        """
+        if not self._exchanges:
+            return False
+        exchange = self._exchanges[0]
+        return exchange.done or exchange.task is not None
+
     def _reject(self, status: int, headers: tuple[Header, ...] = ()) -> None:
         """Respond with ``status`` after the pending responses, then close."""
         if self._closing:
--- a/tests/unit/mesh/test_http1_server.py
+++ b/tests/unit/mesh/test_http1_server.py
@@ -165,6 +165,57 @@
     assert b"connection: close" in data
 
 
+def test_draining_server_starts_no_request_behind_another() -> None:
+    """Guards against running a request that the client sends again elsewhere."""
+    started = []
+
+    async def record(request: HttpRequest) -> HttpResponse:
+        started.append(request.target)
+        await asyncio.sleep(0.02)
+        return HttpResponse(status=200)
+
+    data = send(GET + GET.replace(b"/a", b"/b"), handler=record, drain=True)
+    assert statuses(data) == [200]
+    assert b"connection: close" in data
+    assert started == [b"/a"]
+
+
+def test_abandoned_requests_do_not_hold_back_finished_responses() -> None:
+    """Guards against finished responses that are lost with an unfinished one."""
+    cancelled = []
+
+    async def slow_or_fast(request: HttpRequest) -> HttpResponse:
+        if request.target != b"/fast":
+            try:
+                await asyncio.sleep(10)
+            except asyncio.CancelledError:
+                cancelled.append(request.target)
+                raise
+        return HttpResponse(status=200, body=b"done")
+
+    async def main() -> bytes:
+        server = HttpServer(handler=slow_or_fast, limits=lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        port = listening_port(server)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        paths = (b"/slow", b"/fast", b"/slower")
+        writer.write(b"".join(GET.replace(b"/a", path) for path in paths))
+        async with asyncio.timeout(5):
+            while sum(each.has_response for each in server.unanswered()) < 1:
+                await asyncio.sleep(0.01)
+        server.drain()
+        server.abandon(lambda request: HttpResponse(status=502))
+        data = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        await server.stop()
+        return data
+
+    data = asyncio.run(main())
+    assert statuses(data) == [502, 200, 502]
+    assert data.count(b"connection: close") == 1
+    assert sorted(cancelled) == [b"/slow", b"/slower"]
+
+
 def test_response_to_head_has_no_body() -> None:
     """Guards against body bytes after the response to HEAD."""
     data = send(b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
