Soak pipelining clients, repeated signals and planned work alone

Cause: the soak found no loss in planned stops, because no client pipelined requests, no request ran for longer than the grace, and in nearly every run an unplanned fault was close to each planned stop, which excuses a loss.

--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -4,11 +4,12 @@
 import json
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 import fire
 
-from .faults import FAULTS, Fault
+from .faults import FAULTS, PLANNED, Fault
 from .world import SoakVm, SoakWorld
 
 # At the end no faults are injected: first the fleet recovers, then requests are judged.
@@ -19,8 +20,10 @@
 MAX_FAULT_GAP_SECONDS = 1.2
 
 
-async def _inject_faults(world: SoakWorld, seconds: float) -> list[str]:
-    """Start random faults for ``seconds``; return them when all have ended."""
+async def _inject_faults(
+    world: SoakWorld, seconds: float, faults: Sequence[Fault]
+) -> list[str]:
+    """Start random ``faults`` for ``seconds``; return them when all have ended."""
     loop = asyncio.get_running_loop()
     deadline = loop.time() + seconds
     running: set[asyncio.Task[None]] = set()
@@ -33,7 +36,7 @@
             continue
         vm, fault = (
             world.fault_random.choice(available),
-            world.fault_random.choice(FAULTS),
+            world.fault_random.choice(faults),
         )
         duration = world.fault_random.uniform(0.3, 3.0)
         drawn.append(f"{fault.__name__} {vm.name} {duration:.1f}")
@@ -53,13 +56,16 @@
         vm.has_running_fault = False
 
 
-async def soak(seed: int, seconds: float, vms: int) -> list[str]:
-    """Run one soak and return the violations."""
+async def soak(seed: int, seconds: float, vms: int, planned: bool = False) -> list[str]:
+    """Run one soak and return the violations.
+
+    With ``planned`` there are only planned operations, which must not lose requests.
+    """
     with tempfile.TemporaryDirectory(prefix="cassiasail-soak-") as directory:
         world = SoakWorld(vms=vms, seed=seed, directory=Path(directory))
         try:
             await world.start()
-            drawn = await _inject_faults(world, seconds)
+            drawn = await _inject_faults(world, seconds, PLANNED if planned else FAULTS)
             await asyncio.sleep(RECOVER_SECONDS)
             world.ledger.judged_from = asyncio.get_running_loop().time()
             await asyncio.sleep(JUDGED_SECONDS)
@@ -75,11 +81,17 @@
     return violations
 
 
-def main(seed: int = 1, seconds: float = 20.0, vms: int = 5, runs: int = 1) -> None:
+def main(
+    seed: int = 1,
+    seconds: float = 20.0,
+    vms: int = 5,
+    runs: int = 1,
+    planned: bool = False,
+) -> None:
     """Run soaks with ``runs`` consecutive seeds; exit with 1 after a violation."""
     failed = False
     for each in range(seed, seed + runs):
-        for violation in asyncio.run(soak(each, seconds, vms)):
+        for violation in asyncio.run(soak(each, seconds, vms, planned)):
             failed = True
             print(f"seed {each}: {violation}")
     sys.exit(1 if failed else 0)
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -23,6 +23,12 @@
     LinkMode.DROPS_TO_CLIENT,
     LinkMode.DROPS_ALL,
 )
+# Further signals to a daemon that is stopping; none of them changes anything.
+SIGNALS_WHILE_STOPPING: tuple[tuple[signal.Signals, ...], ...] = (
+    (),
+    (signal.SIGHUP,),
+    (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+)
 
 TARGET_BEHAVIOURS = ("slow", "fails", "loses", "truncates")
 
@@ -61,14 +67,20 @@
 
 
 async def stop_daemon(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
-    """Stop the daemon with SIGTERM and start it again; planned."""
+    """Stop the daemon with SIGTERM, perhaps repeated, and start it again; planned."""
+    loop = asyncio.get_running_loop()
     process = vm.sidecar.process
     assert process is not None
     vm.exit_expected = True
-    vm.stopping_since = asyncio.get_running_loop().time()
+    vm.stopping_since = loop.time()
     vm.sidecar.signal(signal.SIGTERM)
+    for number in world.fault_random.choice(SIGNALS_WHILE_STOPPING):
+        await asyncio.sleep(0.1)
+        if process.returncode is None:
+            vm.sidecar.signal(number)
     try:
-        await asyncio.wait_for(process.wait(), GRACE_SECONDS)
+        remaining = vm.stopping_since + GRACE_SECONDS - loop.time()
+        await asyncio.wait_for(process.wait(), remaining)
     except TimeoutError:
         if world.no_unplanned_fault_since(vm.stopping_since):
             world.ledger.stop_timeouts.append(vm.name)
@@ -153,11 +165,7 @@
     world.store.drop_history()
 
 
-FAULTS: tuple[Fault, ...] = (
-    kill_daemon,
-    kill_daemon,
-    kill_all_daemons,
-    pause_daemon,
+PLANNED: tuple[Fault, ...] = (
     stop_daemon,
     stop_daemon,
     stop_daemon,
@@ -166,6 +174,15 @@
     change_configuration,
     drain_target,
     drain_target,
+    drop_store_history,
+)
+
+FAULTS: tuple[Fault, ...] = (
+    *PLANNED,
+    kill_daemon,
+    kill_daemon,
+    kill_all_daemons,
+    pause_daemon,
     crash_target,
     degrade_target,
     disturb_link,
@@ -174,7 +191,6 @@
     store_fault("down", True, False),
     store_fault("delay", 0.4, 0.0),
     store_fault("drops_responses", True, False),
-    drop_store_history,
 )
 
 
--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -26,6 +26,7 @@
     free_port,
     route,
 )
+from . import pipelining
 from .ledger import Attempt, Ledger, Run
 from .proxy import LoopbackProxy
 
@@ -42,6 +43,10 @@
 # before it.
 SETTLE_SECONDS = 3.0
 MAX_BODY_PARTS = 400
+# The first of some pipelined requests runs for longer than the grace of a stop.
+LONG_SECONDS = 7.0
+LONG_TIMEOUT_MS = 20000
+LONG_SHARE = 0.1
 
 
 def body_of(attempt_id: str) -> str:
@@ -128,6 +133,7 @@
             self._tasks.append(asyncio.create_task(self._supervise(vm)))
             for number in range(CLIENTS_PER_VM):
                 self._tasks.append(asyncio.create_task(self._run_client(vm, number)))
+            self._tasks.append(asyncio.create_task(self._run_pipelining_client(vm)))
 
     async def stop(self) -> None:
         """Stop everything that was started."""
@@ -152,6 +158,7 @@
         self.version += 1
         routes: dict[str, Any] = {service: route(service) for service in SERVICES}
         routes["orders"] = route("one", prefix="/orders/", kind="unsafe")
+        routes["long"] = route("one", prefix="/long/", timeoutMs=LONG_TIMEOUT_MS)
         for version in range(1, self.version + 1):
             routes[f"only-{version}"] = route("one", prefix=f"/only-{version}/")
         self.store.put("op", "config", configuration(self.version, routes))
@@ -225,12 +232,55 @@
                 body_matches = result.body == body_of(sent.attempt_id).encode()
                 sent.response_valid = has_stamp and body_matches
             return
-        sent.lost = _connection_lost_after_send(result)
+        if _connection_lost_after_send(result):
+            self._record_lost(vm, sent)
+
+    def _record_lost(self, vm: SoakVm, sent: Attempt) -> None:
+        sent.lost = True
         daemon_stopping = vm.stopping_since is not None
         sent.during_planned_stop = daemon_stopping and self.no_unplanned_fault_since(
             sent.sent_at
         )
 
+    async def _run_pipelining_client(self, vm: SoakVm) -> None:
+        """Send safe requests without waiting for the responses to earlier ones."""
+        count = 0
+        while True:
+            await asyncio.sleep(self.traffic_random.uniform(0, 0.3))
+            connection = await pipelining.connect(vm.sidecar.address_by_use["outbound"])
+            if connection is None:
+                continue
+            for _ in range(pipelining.BATCHES_PER_CONNECTION):
+                for position in range(self.traffic_random.randint(2, 4)):
+                    count += 1
+                    is_long = not position and self._draws_long_request()
+                    service = "long" if is_long else "two"
+                    sent = Attempt(
+                        attempt_id=f"{vm.name}-pipelined-{count}-{service}",
+                        service="one" if is_long else service,
+                        safe=True,
+                        vm=vm.name,
+                        sent_at=self._loop.time(),
+                    )
+                    self.ledger.sent[sent.attempt_id] = sent
+                    connection.send(sent.attempt_id, f"/{service}/x", LONG_TIMEOUT_MS)
+                async for attempt_id, status, body in connection.responses():
+                    sent = self.ledger.sent[attempt_id]
+                    sent.status = status
+                    sent.response_valid = (
+                        status != 200 or body == body_of(attempt_id).encode()
+                    )
+                if connection.unanswered or connection.closing:
+                    break
+            for attempt_id in () if connection.closing else connection.unanswered:
+                self._record_lost(vm, self.ledger.sent[attempt_id])
+            connection.close()
+
+    def _draws_long_request(self) -> bool:
+        """Draw a long request; none is sent when requests are judged at the end."""
+        judged = self.ledger.judged_from != float("inf")
+        return not judged and self.traffic_random.random() < LONG_SHARE
+
     async def _probe_version(self, vm: SoakVm) -> None:
         """Check that the daemon of ``vm`` never returns to an older version."""
         pool = ConnectionPool(connect_timeout=1, ack_timeout=3, idle_timeout=10)
@@ -276,6 +326,8 @@
             )
         )
         delay = 1.0 if vm.behaviour == "slow" else 0.0
+        if request.path.startswith("/long/"):
+            delay += LONG_SECONDS
         await asyncio.sleep(self.traffic_random.uniform(0.005, 0.06) + delay)
         response = vm.sidecar.platform_response(request, body_of(attempt_id))
         if vm.behaviour == "fails" and self.traffic_random.random() < 0.3:
