Forward pipelined requests during the first seconds of a stop again

The callers lose time by it and gain nothing, since unfinished requests no longer hold back answers when the process exits.

The test for it demanded that such a request is not forwarded; it now demands that it is served, with its answer complete and the connection closed behind it. The unit test is replaced likewise.

--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -2,8 +2,7 @@
 
 Pipelined requests run concurrently if their method is safe; the responses keep the
 order of the requests. After a response with ``Connection: close``, no further request
-of the connection is started. A draining server starts none behind another request,
-because its response may become due only after the process has to exit.
+of the connection is started.
 """
 
 import asyncio
@@ -123,7 +122,7 @@
         )
 
     def drain(self) -> None:
-        """Close each connection after its started requests; keep listening."""
+        """Respond with ``Connection: close`` from now on; keep listening."""
         self.draining = True
 
     def abandon(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
@@ -355,14 +354,10 @@
         """Start the requests that may run now.
 
         Safe requests run concurrently with earlier ones. Any other request waits until
-        it is the first, because an earlier response may close the connection. The
-        responses of a draining server do, so every request has to be the first.
+        it is the first, because an earlier response may close the connection.
         """
         for position, exchange in enumerate(self._exchanges):
-            may_overlap = (
-                exchange.request.method in SAFE_METHODS and not self._server.draining
-            )
-            if position and not may_overlap:
+            if position and exchange.request.method not in SAFE_METHODS:
                 return
             if exchange.task is None and not exchange.done:
                 exchange.task = self._loop.create_task(self._handle(exchange))
@@ -389,7 +384,7 @@
                 transport.abort()
                 return
             close = not exchange.keep_alive or (
-                self._server.draining and not self._has_started_request()
+                self._server.draining and not self._exchanges and not self._partial
             )
             limits = self._server.limits()
             transport.write(
@@ -412,16 +407,6 @@
             transport.resume_reading()
         self._start_idle_timer()
 
-    def _has_started_request(self) -> bool:
-        """Return whether the next response belongs to a started or rejected request.
-
-        Requests are started in their order, so later ones were not started either.
-        """
-        if not self._exchanges:
-            return False
-        exchange = self._exchanges[0]
-        return exchange.done or exchange.task is not None
-
     def _reject(self, status: int, headers: tuple[Header, ...] = ()) -> None:
         """Respond with ``status`` after the pending responses, then close."""
         if self._closing:
