Reserve the loopback network and ports of a layout until its process ends

free_net() tested whether the address of a store was free, and the store bound it only seconds later; two programs that started at the same time got one network. free_port() had the same gap between processes, and bench_memory listened on a fixed port within the ephemeral range.

Each reservation is now a bound socket on an address that nothing else uses, held until the process ends: one for each network, one for each 100 ports. A network whose store outlived its starter is still passed over.

--- a/devtools/bench_calls.py
+++ b/devtools/bench_calls.py
@@ -17,9 +17,10 @@
 
 import aiohttp
 
-from .layouts import TARGET_PORT, Layout, free_net, scaled_layout
+from .layouts import TARGET_PORT, Layout, scaled_layout
 from .processes import LayoutProcesses
 from .quickstart import apply_lists, wait_for_version
+from .reservations import reserve_net
 
 FORWARDER_PORT = 8081
 CALLS_PER_SECOND = 64.0  # load of one daemon in a fleet of the designed size
@@ -111,7 +112,7 @@
 
 async def run(seconds: float) -> dict[str, Any]:
     """Run the whole bench and return its figures."""
-    layout = bench_layout(free_net())
+    layout = bench_layout(reserve_net())
     processes = LayoutProcesses(layout=layout)
     target_vm, entry_vm = layout.vms
     path = "/outlooks/bench"
--- a/devtools/bench_fleet.py
+++ b/devtools/bench_fleet.py
@@ -33,8 +33,9 @@
 from cassiasail._internal.transport.store_http import HttpStore
 
 from .bench_calls import cpu_seconds, quantile
-from .layouts import Layout, Vm, free_net, scaled_layout
+from .layouts import Layout, Vm, scaled_layout
 from .processes import LayoutProcesses
+from .reservations import reserve_net
 
 DAEMON_COUNTS = (13, 52, 104, 208)
 MODES = ("product", "poll", "push")
@@ -250,7 +251,7 @@
 
 async def start_fleet(mode: str, count: int) -> Fleet:
     """Start the platform and ``count`` daemons and commit the first version."""
-    layout = scaled_layout("utility", count=count, net=free_net())
+    layout = scaled_layout("utility", count=count, net=reserve_net())
     processes = LayoutProcesses(layout=layout, targets=False)
     if mode != "product":
         peers = processes.directory / "peers"
--- a/devtools/bench_memory.py
+++ b/devtools/bench_memory.py
@@ -48,6 +48,7 @@
 from cassiasail._internal.transport.shaping import RegionLink
 
 from .bench_fleet import bare_imports_mb, bench_rows, resident_mb
+from .reservations import HOST, reserve_port
 
 LINK_COUNT = 200
 RECORD_COUNT = 2800
@@ -158,12 +159,13 @@
             serve_request=_reject_call,
             load_report_for=lambda head: None,
         )
+        address = f"{HOST}:{reserve_port()}"
         self.server = await start_listener(
-            "127.0.0.1:47113", local=local, control=self._control_links("b"), calls=pool
+            address, local=local, control=self._control_links("b"), calls=pool
         )
         async with asyncio.timeout(30):
             for number in range(1, count + 1):
-                self.dialing_links.dial("127.0.0.1:47113")
+                self.dialing_links.dial(address)
                 while self.opened_ends < 2 * number:
                     await asyncio.sleep(0.005)
 
--- a/devtools/layouts.py
+++ b/devtools/layouts.py
@@ -5,8 +5,6 @@
 """
 
 import itertools
-import socket
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 PEER_PORT = 7000
@@ -14,9 +12,6 @@
 ADMIN_PORT = 9090
 TARGET_PORT = 8000
 STORE_PORT = 6000
-# Range of NET, the last value excluded.
-FIRST_NET = 20
-LAST_NET = 220
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -156,19 +151,3 @@
         region_delay_ms=12.0,
         region_mbit=30.0,
     )
-
-
-def free_net() -> int:
-    """Return the number of a loopback network that no running layout uses."""
-    for net in _candidate_nets():
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.{net}.0.1", STORE_PORT))
-            except OSError:
-                continue
-            return net
-    raise RuntimeError("no free loopback network; stop other layouts first")
-
-
-def _candidate_nets() -> Iterator[int]:
-    yield from range(FIRST_NET, LAST_NET)
--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -4,9 +4,7 @@
 import base64
 import json
 import os
-import random
 import signal
-import socket
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -18,9 +16,8 @@
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.transport.http1.pool import ConnectionPool
 
-HOST = "127.0.0.1"
-PORT_RANGE = (10000, 30000)
-_returned_ports: set[int] = set()
+from .reservations import HOST, reserve_port
+
 REPO = Path(__file__).resolve().parents[1]
 LIMITS = {
     "maxHeaderBytes": 16384,
@@ -30,25 +27,6 @@
 }
 
 
-def free_port() -> int:
-    """Return a free port of the loopback address; each port is returned only once.
-
-    It is below the range of ephemeral ports, so that no outgoing connection takes it
-    before its use.
-    """
-    while True:
-        port = random.SystemRandom().randrange(*PORT_RANGE)
-        if port in _returned_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue  # In use by another program.
-        _returned_ports.add(port)
-        return port
-
-
 def route(service: str, **more: Any) -> dict[str, Any]:
     """Return a route of host ``h`` in the format of the configuration."""
     entry = {
@@ -94,7 +72,7 @@
         self.delay = 0.0
         self.drops_responses = False
         self._history_start = 0
-        self.address = Address(HOST, free_port())
+        self.address = Address(HOST, reserve_port())
         self._runner: web.AppRunner | None = None
 
     def put(self, table: str, key: str, value: bytes) -> None:
@@ -201,10 +179,10 @@
         # Whether the platform tells the daemon that the system has never run.
         self.first_start = False
         self.address_by_use = {
-            use: Address(HOST, free_port())
+            use: Address(HOST, reserve_port())
             for use in ("inbound", "outbound", "readiness", "admin", "target")
         }
-        self.metrics_port = free_port()
+        self.metrics_port = reserve_port()
         # Attempt id and path of each request to the target.
         self.received: list[tuple[str, str]] = []
         self.handle_request: RequestHandler = self._default_response
--- a/devtools/quickstart.py
+++ b/devtools/quickstart.py
@@ -20,8 +20,9 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
-from .layouts import TARGET_PORT, Layout, Vm, build_layout, free_net
+from .layouts import TARGET_PORT, Layout, Vm, build_layout
 from .processes import LayoutProcesses
+from .reservations import reserve_net
 from .traffic import STREAMS_BY_LAYOUT, Traffic, TrafficCounts
 
 LISTS = Path(__file__).parent / "lists"
@@ -343,7 +344,7 @@
 async def run(layout_name: str, seed: int) -> int:
     """Run the scenario and return the exit code."""
     started = time.monotonic()
-    layout = build_layout(layout_name, net=free_net())
+    layout = build_layout(layout_name, net=reserve_net())
     processes = LayoutProcesses(layout=layout)
     report = Report()
     traffic = Traffic(
--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -23,9 +23,9 @@
     PlatformStore,
     Sidecar,
     configuration,
-    free_port,
     route,
 )
+from ..reservations import reserve_port
 from .ledger import Attempt, Ledger, Run
 from .proxy import LoopbackProxy
 
@@ -69,7 +69,7 @@
         }
         for use in self.link_by_use:
             addresses[use] = Address(PROXY_HOST, addresses[use].port)
-        proxy_address = Address(PROXY_HOST, free_port())
+        proxy_address = Address(PROXY_HOST, reserve_port())
         self.link_by_use["store"] = LoopbackProxy(
             listen=proxy_address, server=store.address
         )
--- a/devtools/up.py
+++ b/devtools/up.py
@@ -4,15 +4,16 @@
 import asyncio
 import signal
 
-from .layouts import build_layout, free_net
+from .layouts import build_layout
 from .processes import LayoutProcesses
 from .quickstart import apply_lists, wait_for_version
+from .reservations import reserve_net
 from .traffic import STREAMS_BY_LAYOUT
 
 
 async def run(layout_name: str) -> None:
     """Run the layout until SIGINT or SIGTERM."""
-    layout = build_layout(layout_name, net=free_net())
+    layout = build_layout(layout_name, net=reserve_net())
     processes = LayoutProcesses(layout=layout)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/tests/functional/promises/fleet.py
+++ b/tests/functional/promises/fleet.py
@@ -15,9 +15,10 @@
 
 from cassiasail._internal.clock import SystemClock
 from cassiasail._internal.transport.store_http import HttpStore
-from devtools.layouts import STORE_PORT, TARGET_PORT, Layout, Vm, free_net
+from devtools.layouts import STORE_PORT, TARGET_PORT, Layout, Vm
 from devtools.processes import LayoutProcesses
 from devtools.quickstart import run_cli_checked
+from devtools.reservations import reserve_net
 
 T = TypeVar("T")
 
@@ -105,7 +106,7 @@
 
     def __init__(self, runner: asyncio.Runner) -> None:
         self._runner = runner
-        self.layout = six_vms(free_net())
+        self.layout = six_vms(reserve_net())
         self.vms = self.layout.vms
         self.version = 0
         self._keys = itertools.count(1)
