Do not send a call on probation to a third target

Cause: test_crash.py beside load saw three crashes where two are allowed. The first target crashed and was recorded; 2 s later the request was let through on probation. Its second target crashed, but the refusal reached the entry daemon before a notice of that crash existed, so the daemon sent the call on to a third target. The limit of two failed targets counted only those of one call.

Change: the targets that crashed with the request count as failed targets of a call on probation, so it is not sent on after the next failure.

--- a/src/cassiasail/_internal/coordination/router.py
+++ b/src/cassiasail/_internal/coordination/router.py
@@ -38,6 +38,7 @@
 from .quarantine import Quarantine
 from .quota_exchange import QuotaClient
 from .retries import (
+    MAX_TARGET_FAILURES,
     RetryBudget,
     RetryCase,
     RetryDenied,
@@ -71,7 +72,8 @@
 
     ``excluded`` are the targets that the next attempt avoids: those of earlier attempts
     and those that crashed while they ran the same call. ``count`` is the number of
-    attempts, ``target_failures`` the number of those that ended with TARGET_FAILED.
+    attempts, ``target_failures`` the number of those that ended with TARGET_FAILED,
+    counting a target that an earlier call with the same request crashed.
     ``may_have_run`` is set once an attempt was refused without the certainty that the
     call was not executed.
     """
@@ -285,7 +287,11 @@
     async def _attempt_with_retries(self, attempts: Attempts) -> CallResponse | Refusal:
         """Make attempts until one gets a response or the next one is denied."""
         routed = attempts.routed
-        attempts.excluded = self._quarantine.targets_crashed_with(routed.fingerprint)
+        crashed = self._quarantine.targets_crashed_with(routed.fingerprint)
+        attempts.excluded = crashed
+        # The next failed target is the last one: the notice of its crash may arrive
+        # only after the call was sent on.
+        attempts.target_failures = min(len(crashed), MAX_TARGET_FAILURES - 1)
         count_first_attempt(self._retry_budget, routed.route.service, routed.customer)
         while True:
             result = await self._attempt_once(attempts)
