Probe the port of a target again if it closes the accepted connection

Cause: the host daemon probes the port after a reset, and a refused port shows a crash. Beside load the probe was accepted at 7 of 15 traced crashes of targets: the system reset the connections first and closed the listener up to 10 ms later. The crash was then recorded only when the next call met the closed port, 50 to 240 ms after the refusal, and the entry daemon had sent the call to another target meanwhile.

Change: the probe holds its connection for 50 ms and connects again if it is closed, 0.25 s at most as before. The refusal of a call that a living target reset comes up to 50 ms later.

--- a/src/cassiasail/_internal/transport/hosted_calls.py
+++ b/src/cassiasail/_internal/transport/hosted_calls.py
@@ -40,6 +40,12 @@
 # A port on the local VM accepts or refuses a connection within microseconds. On a busy
 # VM it can take longer until the daemon and the target are scheduled.
 PROBE_TIMEOUT_SECONDS = 0.25
+# The system may reset the connections of a process that ends before it closes the
+# listener, which accepts connections until then. On a machine with twice as many busy
+# processes as cores, it reset those of seven such probes after 10 ms at most.
+PROBE_HOLD_SECONDS = 0.05
+# Pause before the next probe of a port that accepted a connection and closed it.
+PROBE_PAUSE_SECONDS = 0.005
 # Number of targets that one daemon accepts. A VM runs one target, or two during a
 # rollout.
 MAX_TARGETS = 8
@@ -194,19 +200,22 @@
             await asyncio.wait({probe}, timeout=PROBE_TIMEOUT_SECONDS)
 
     async def _probe_port(self, target_id: TargetId) -> None:
-        """Connect to the target's port; report a refusal to its ``TargetHost``."""
+        """Connect to the target's port; report a refusal to its ``TargetHost``.
+
+        Repeated while the port accepts the connection and closes it soon afterwards.
+        """
         local = self._local_by_id.get(target_id)
         if local is None:
             return
         host, _, port = local.address.partition(":")
         try:
-            _, writer = await asyncio.open_connection(host, int(port))
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                while not await _connection_stays_open(host, int(port)):
+                    await asyncio.sleep(PROBE_PAUSE_SECONDS)
         except ConnectionRefusedError:
             local.host.on_port_refused()
         except OSError as error:
-            logging.debug("port probe of target %s failed: %s", target_id, error)
-        else:
-            writer.close()
+            logging.debug("port probe of target %s failed: %r", target_id, error)
 
     async def _dispatch(
         self,
@@ -241,6 +250,23 @@
         return observe_body_end(result, finish_permit)
 
 
+async def _connection_stays_open(host: str, port: int) -> bool:
+    """Connect; return whether the connection is open after ``PROBE_HOLD_SECONDS``.
+
+    Raises ``OSError`` if it cannot be opened.
+    """
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        async with asyncio.timeout(PROBE_HOLD_SECONDS):
+            return await reader.read(1) != b""
+    except TimeoutError:
+        return True
+    except ConnectionError:
+        return False
+    finally:
+        writer.close()
+
+
 def _hosted_call(head: CallHead, deadline: float) -> HostedCall:
     return HostedCall(
         customer=CustomerId(head.customer),
