Reject a request whose body is still arriving at its deadline

Change: the body of a request has to be complete at the deadline of the request, which is that of its header or the timeout of its route. A request without one (no route, and the listeners for daemons and heartbeats) has one idle timeout for the whole body. It gets 408, which is true, since nothing of it has run, and is counted in the new metric cassiasail_mesh_requests_timed_out_total, as are late headers. The deadline is worked out only if a body does not arrive with its header.

A slow body within its deadline is still handled.

--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -171,14 +171,13 @@
         config = self._config()
         if config is None:
             return self._not_run(HostReason.NO_TARGET, 0.0)
-        path = request.request_target.partition(b"?")[0].decode("latin-1")
-        route = config.match(request.host, path)
+        route = _match(config, request)
         if route is None:
             self._events.write(
                 "no_route",
                 attempt=request.attempt_id,
                 host=request.host,
-                path=path,
+                path=_path_of(request),
                 version=config.version,
             )
             return NoRoute()
@@ -187,6 +186,15 @@
         self._record_end(request, state, config, response)
         return response
 
+    def time_limit(self, request: ClientRequest) -> float | None:
+        """Return the seconds from the arrival of ``request`` to its deadline.
+
+        None if no route of a configuration matches. The body may be missing.
+        """
+        config = self._config()
+        route = None if config is None else _match(config, request)
+        return None if route is None else _time_limit(request, route)
+
     def refuse(self, request: ClientRequest) -> NotRun:
         """Refuse ``request`` because this daemon is stopping."""
         self._events.write(
@@ -198,16 +206,13 @@
         self, request: ClientRequest, route: MeshRoute, config: MeshConfig
     ) -> _RequestState:
         """Choose the service and count the request in the retry budget."""
-        timeout = route.timeout
-        if request.remaining_time is not None:
-            timeout = min(timeout, request.remaining_time)
         service = self._split.choose(route, config.version)
         self._budget.record_request(service, self._target_retry_share())
         return _RequestState(
             route=route,
             service=service,
             arrived_at=request.arrived_at,
-            deadline=request.arrived_at + timeout,
+            deadline=request.arrived_at + _time_limit(request, route),
             body_kb=len(request.body) / 1000,
         )
 
@@ -446,3 +451,18 @@
     if reply.response is not None and reply.outcome is HostOutcome.ANSWERED:
         return str(reply.response.status)
     return reply.reason.value
+
+
+def _path_of(request: ClientRequest) -> str:
+    return request.request_target.partition(b"?")[0].decode("latin-1")
+
+
+def _match(config: MeshConfig, request: ClientRequest) -> MeshRoute | None:
+    return config.match(request.host, _path_of(request))
+
+
+def _time_limit(request: ClientRequest, route: MeshRoute) -> float:
+    """Return the seconds from the arrival of the request to its deadline."""
+    if request.remaining_time is None:
+        return route.timeout
+    return min(route.timeout, request.remaining_time)
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -197,6 +197,12 @@
     "Requests refused because the bodies of others fill the memory for them.",
     registry=REGISTRY,
 )
+MESH_REQUESTS_TIMED_OUT = Counter(
+    "cassiasail_mesh_requests_timed_out",
+    "Requests rejected with 408 because their header or body was late, by that part.",
+    ["part"],
+    registry=REGISTRY,
+)
 LOG_LINES_LEFT_OUT = Counter(
     "cassiasail_log_lines_left_out",
     "Log lines not written, by reason: the rate limit of their event or a full pipe.",
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -202,7 +202,10 @@
     def _build_servers(self) -> None:
         memory = BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
         self._clients_server = HttpServer(
-            handler=self._serve_client, limits=self._client_limits, memory=memory
+            handler=self._serve_client,
+            limits=self._client_limits,
+            memory=memory,
+            time_limit=self._client_time_limit,
         )
         self._peers_server = HttpServer(
             handler=self._serve_peer, limits=_default_limits, memory=memory
@@ -319,6 +322,12 @@
         config = self._store_view.config
         return DEFAULT_LIMITS if config is None else config.limits
 
+    def _client_time_limit(self, request: HttpRequest) -> float | None:
+        """Return the seconds from the arrival of a client's request to its deadline."""
+        return self._router.time_limit(
+            requests.decode_request(request, client_service=self._settings.service)
+        )
+
     # Requests.
 
     async def _serve_client(self, request: HttpRequest) -> HttpResponse:
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -36,6 +36,9 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
+# Receives a request without its body; returns the seconds from its arrival to its
+# deadline, None if it has none.
+TimeLimit = Callable[[HttpRequest], float | None]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -67,6 +70,8 @@
     # Body bytes for which memory is held; the whole length if it was announced.
     held_bytes: int = 0
     header_complete: bool = False
+    # Loop time by which the whole body must have arrived; None until a part is missing.
+    body_due_at: float | None = None
 
 
 class HttpServer:
@@ -74,7 +79,9 @@
 
     ``handler`` returns the response, or None to abort the connection without one.
     ``memory`` holds the bodies of requests without a response; servers may share it. A
-    request whose body does not fit gets 503 and is not handled.
+    request whose body does not fit gets 503 and is not handled. One whose body is
+    incomplete at its ``time_limit`` gets 408 and is not handled either; without a time
+    limit, the whole body must arrive within the idle timeout.
     """
 
     def __init__(
@@ -83,9 +90,11 @@
         handler: Handler,
         limits: Callable[[], ClientLimits],
         memory: BodyMemory | None = None,
+        time_limit: TimeLimit = lambda request: None,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.time_limit = time_limit
         self.memory = memory or BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
         self.draining = False
         self.connections: set[ServerConnection] = set()
@@ -179,6 +188,7 @@
                 self._reject(400)
         else:
             self._check_incomplete_header(len(data))
+            self._start_body_timer()
 
     # Callbacks of the parser.
 
@@ -205,7 +215,6 @@
         expects_continue = any(value.lower() == b"100-continue" for value in expected)
         if expects_continue and not self._exchanges:
             self._transport.write(CONTINUE_RESPONSE)
-        self._start_timer(self._server.limits().idle_seconds, self._request_timed_out)
 
     def on_body(self, body: bytes) -> None:
         partial = self._partial
@@ -215,20 +224,11 @@
             raise _RejectedError(413)
         self._hold_body(partial, partial.body_bytes)
         partial.body_chunks.append(body)
-        # The timeout of a body restarts with each part received.
-        self._start_timer(self._server.limits().idle_seconds, self._request_timed_out)
 
     def on_message_complete(self) -> None:
         partial, self._partial = self._partial, None
         assert partial is not None
-        method = self._parser.get_method()
-        request = HttpRequest(
-            method=method,
-            target=partial.target,
-            headers=tuple(partial.headers),
-            body=b"".join(partial.body_chunks),
-            arrived=partial.arrived_at,
-        )
+        request = self._request(partial, body=b"".join(partial.body_chunks))
         keep_alive = self._parser.should_keep_alive()
         self._exchanges.append(
             _Exchange(request=request, keep_alive=keep_alive, holder=partial)
@@ -239,6 +239,15 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
+    def _request(self, partial: _PartialRequest, *, body: bytes) -> HttpRequest:
+        return HttpRequest(
+            method=self._parser.get_method(),
+            target=partial.target,
+            headers=tuple(partial.headers),
+            body=body,
+            arrived=partial.arrived_at,
+        )
+
     # Checks of the header section.
 
     def _count_header_bytes(self, size: int) -> None:
@@ -391,7 +400,32 @@
         if not self._exchanges and self._partial is None and not self._closing:
             self._start_timer(self._server.limits().idle_seconds, self.close_gracefully)
 
+    def _body_due_at(self, partial: _PartialRequest) -> float:
+        """Return the loop time by which the whole body must have arrived."""
+        seconds = self._server.time_limit(self._request(partial, body=b""))
+        if seconds is None:
+            return self._loop.time() + self._server.limits().idle_seconds
+        return partial.arrived_at + seconds
+
+    def _start_body_timer(self) -> None:
+        """Wait for the next part of an incomplete body, but not beyond its due time.
+
+        The idle timeout restarts with each part. Alone it would let a client hold a
+        connection and memory for hours by sending single bytes.
+        """
+        partial = self._partial
+        if partial is None or not partial.header_complete:
+            return
+        if partial.body_due_at is None:
+            partial.body_due_at = self._body_due_at(partial)
+        due_in = max(0.0, partial.body_due_at - self._loop.time())
+        idle_seconds = self._server.limits().idle_seconds
+        self._start_timer(min(idle_seconds, due_in), self._request_timed_out)
+
     def _request_timed_out(self) -> None:
+        has_header = self._partial is not None and self._partial.header_complete
+        part = "body" if has_header else "header"
+        metrics.MESH_REQUESTS_TIMED_OUT.labels(part).inc()
         self._reject(408)
 
     def _drop_partial(self) -> None:
--- a/tests/functional/sidecar/test_sidecar.py
+++ b/tests/functional/sidecar/test_sidecar.py
@@ -466,3 +466,32 @@
             assert loop.time() - started < 0.8
 
     run(main)
+
+
+def test_upload_beyond_its_deadline_is_rejected_and_never_runs(tmp_path: Path) -> None:
+    """Guards against a client that holds memory by sending its body byte by byte."""
+
+    async def main() -> None:
+        async with mesh(tmp_path, "one") as (_, (one,)):
+            loop = asyncio.get_running_loop()
+            reader, writer = await asyncio.open_connection(
+                *one.address_by_use["outbound"]
+            )
+            writer.write(
+                b"POST /orders/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n"
+                b"X-Cassiasail-Attempt-Id: slow\r\n"
+                b"X-Cassiasail-Deadline-Ms: 500\r\n\r\n"
+            )
+            started_at = loop.time()
+            response = asyncio.create_task(reader.read())
+            while not response.done() and loop.time() < started_at + 10:
+                writer.write(b"x")
+                await asyncio.sleep(0.05)
+            assert response.done()
+            assert response.result().startswith(b"HTTP/1.1 408 ")
+            # The limits of the configuration allow a pause of 15 s between two parts.
+            assert 0.5 <= loop.time() - started_at < 5
+            assert one.received == []
+            writer.close()
+
+    run(main)
--- a/tests/unit/mesh/test_http1_server.py
+++ b/tests/unit/mesh/test_http1_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cassiasail._internal import metrics
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.mesh_config import ClientLimits
 from cassiasail._internal.transport.http1.server import HttpServer
@@ -196,3 +197,83 @@
         return True
 
     assert asyncio.run(main())
+
+
+def trickle(
+    *, parts: int, pause: float, time_limit: float | None
+) -> tuple[bytes, float, list[bytes]]:
+    """Send a body in ``parts`` of one byte, ``pause`` seconds apart.
+
+    ``time_limit`` is what the server knows of the request's deadline, in seconds.
+    Returns the bytes received until the server closes, the seconds until then, and the
+    bodies that were handled.
+    """
+    handled: list[bytes] = []
+
+    async def record(request: HttpRequest) -> HttpResponse:
+        handled.append(request.body)
+        return HttpResponse(status=200)
+
+    async def main() -> tuple[bytes, float]:
+        loop = asyncio.get_running_loop()
+        server = HttpServer(
+            handler=record, limits=lambda: LIMITS, time_limit=lambda _: time_limit
+        )
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listening_port(server)
+        )
+        started_at = loop.time()
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % parts
+        writer.write(head)
+        received = asyncio.create_task(reader.read())
+        for _ in range(parts):
+            await asyncio.sleep(pause)
+            if received.done():
+                break
+            writer.write(b"x")
+        data = await asyncio.wait_for(received, 5)
+        seconds = loop.time() - started_at
+        writer.close()
+        await server.stop()
+        return data, seconds
+
+    return *asyncio.run(main()), handled
+
+
+def test_body_that_arrives_beyond_the_deadline_is_rejected() -> None:
+    """Guards against a client that holds a connection by a body sent byte by byte.
+
+    Nothing of the request has run, so that 408 is true.
+    """
+    late_bodies = metrics.MESH_REQUESTS_TIMED_OUT.labels("body")
+    before = late_bodies.value
+    data, seconds, handled = trickle(parts=60, pause=0.05, time_limit=0.3)
+    assert late_bodies.value == before + 1
+    assert statuses(data) == [408]
+    assert 0.3 <= seconds < 2
+    assert handled == []
+
+
+def test_body_without_a_deadline_gets_one_idle_timeout() -> None:
+    """Guards against the same for requests whose deadline is unknown."""
+    data, seconds, handled = trickle(parts=60, pause=0.05, time_limit=None)
+    assert statuses(data) == [408]
+    assert LIMITS.idle_seconds <= seconds < 2
+    assert handled == []
+
+
+def test_slow_body_within_its_deadline_is_handled() -> None:
+    """Guards against rejecting an upload that is slow but arrives in time."""
+    data, seconds, handled = trickle(parts=12, pause=0.05, time_limit=4.0)
+    assert statuses(data) == [200]
+    assert seconds > LIMITS.idle_seconds
+    assert handled == [b"x" * 12]
+
+
+def test_body_that_stops_is_rejected_before_its_deadline() -> None:
+    """Guards against a connection that is idle for the whole time of a request."""
+    data, seconds, handled = trickle(parts=2, pause=0.6, time_limit=4.0)
+    assert statuses(data) == [408]
+    assert seconds < 2
+    assert handled == []
