Draw all faults of a soak from its seed, and keep the logs of a failed run

Cause: each fault was drawn when the one before it had left room, so the faults of a seed depended on how long daemons took to stop, that is on the load of the machine; whether a new target kept its id depended on the clock. The logs of the daemons went nowhere.

Change: the whole schedule, with VMs, durations and options, is drawn before the first fault starts.

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -208,17 +208,20 @@
         return path
 
     async def start_daemon(self, directory: Path) -> None:
+        """Start the daemon; settings and log are files in ``directory``."""
         path = self.write_settings(directory)
         environment = dict(os.environ, CASSIASAIL_BOOT=str(path))
         environment["PYTHONPATH"] = str(REPO / "src")
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "cassiasail.sidecar",
-            f"--metrics-port={self.metrics_port}",
-            env=environment,
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        with (directory / f"{self.name}.log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cassiasail.sidecar",
+                f"--metrics-port={self.metrics_port}",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
 
     def signal(self, number: signal.Signals) -> None:
         assert self.process is not None
--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -2,84 +2,104 @@
 
 import asyncio
 import json
+import shutil
 import sys
 import tempfile
+from collections.abc import Iterable
+from dataclasses import asdict
 from pathlib import Path
+from typing import Any
 
 import fire
 
-from .faults import FAULTS, Fault
-from .world import SoakVm, SoakWorld
+from .schedule import ScheduledFault, draw_schedule, run_schedule
+from .world import SoakWorld
 
 # At the end no faults are injected: first the fleet recovers, then requests are judged.
 RECOVER_SECONDS = 8.0
 JUDGED_SECONDS = 3.0
-# Most faults at a time, and the longest pause between the starts of two.
-MAX_OVERLAPPING = 3
-MAX_FAULT_GAP_SECONDS = 1.2
-
-
-async def _inject_faults(world: SoakWorld, seconds: float) -> list[str]:
-    """Start random faults for ``seconds``; return them when all have ended."""
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + seconds
-    running: set[asyncio.Task[None]] = set()
-    drawn: list[str] = []
-    while loop.time() < deadline:
-        await asyncio.sleep(world.fault_random.uniform(0, MAX_FAULT_GAP_SECONDS))
-        running = {task for task in running if not task.done()}
-        available = [vm for vm in world.vms if not vm.has_running_fault]
-        if len(running) >= MAX_OVERLAPPING or not available:
-            continue
-        vm, fault = (
-            world.fault_random.choice(available),
-            world.fault_random.choice(FAULTS),
-        )
-        duration = world.fault_random.uniform(0.3, 3.0)
-        drawn.append(f"{fault.__name__} {vm.name} {duration:.1f}")
-        running.add(asyncio.create_task(_run_fault(world, vm, fault, duration)))
-    if running:
-        await asyncio.gather(*running)
-    return drawn
-
-
-async def _run_fault(
-    world: SoakWorld, vm: SoakVm, fault: Fault, seconds: float
-) -> None:
-    vm.has_running_fault = True
+
+
+async def soak(
+    seed: int, seconds: float, vms: int, logs: Path | None = None
+) -> list[str]:
+    """Run one soak and return the violations.
+
+    The logs and settings of the daemons and the records of clients, targets and faults
+    are in a new directory within ``logs``, by default the one for temporary files. It
+    is removed after a run without violations.
+    """
+    directory = Path(tempfile.mkdtemp(prefix=f"cassiasail-soak-{seed}-", dir=logs))
+    schedule = draw_schedule(seed, seconds=seconds, vms=vms)
+    world = SoakWorld(vms=vms, seed=seed, directory=directory)
     try:
-        await fault(world, vm, seconds)
+        await _run(world, schedule)
+    except BaseException as error:
+        _keep_records(world, schedule, [f"the run ended early: {error!r}"])
+        raise
     finally:
-        vm.has_running_fault = False
-
-
-async def soak(seed: int, seconds: float, vms: int) -> list[str]:
-    """Run one soak and return the violations."""
-    with tempfile.TemporaryDirectory(prefix="cassiasail-soak-") as directory:
-        world = SoakWorld(vms=vms, seed=seed, directory=Path(directory))
-        try:
-            await world.start()
-            drawn = await _inject_faults(world, seconds)
-            await asyncio.sleep(RECOVER_SECONDS)
-            world.ledger.judged_from = asyncio.get_running_loop().time()
-            await asyncio.sleep(JUDGED_SECONDS)
-            world.ledger.lagging += [
-                f"{vm.name} at {vm.seen_version} of {world.version}"
-                for vm in world.vms
-                if vm.seen_version < world.version
-            ]
-        finally:
-            await world.stop()
+        await world.stop()
     violations = list(world.ledger.violations())
-    print(json.dumps({"seed": seed, "faults": drawn, **world.ledger.summary()}))
+    faults = [str(each) for each in schedule]
+    print(json.dumps({"seed": seed, "faults": faults, **world.ledger.summary()}))
+    if violations:
+        _keep_records(world, schedule, violations)
+    else:
+        shutil.rmtree(directory)
     return violations
 
 
-def main(seed: int = 1, seconds: float = 20.0, vms: int = 5, runs: int = 1) -> None:
-    """Run soaks with ``runs`` consecutive seeds; exit with 1 after a violation."""
+async def _run(world: SoakWorld, schedule: list[ScheduledFault]) -> None:
+    """Run all faults, let the fleet recover and send the requests that are judged."""
+    await world.start()
+    await run_schedule(world, schedule)
+    await asyncio.sleep(RECOVER_SECONDS)
+    world.ledger.judged_from = asyncio.get_running_loop().time()
+    await asyncio.sleep(JUDGED_SECONDS)
+    world.ledger.lagging += [
+        f"{vm.name} at {vm.seen_version} of {world.version}"
+        for vm in world.vms
+        if vm.seen_version < world.version
+    ]
+
+
+def _keep_records(
+    world: SoakWorld, schedule: list[ScheduledFault], violations: list[str]
+) -> None:
+    """Write the records of a run that failed beside the logs of its daemons."""
+    ledger = world.ledger
+    records_by_name: dict[str, Iterable[Any]] = {
+        "violations": violations,
+        "schedule": map(str, schedule),
+        "faults": ledger.faults,
+        "attempts": map(asdict, ledger.sent.values()),
+        "runs": map(asdict, ledger.runs),
+    }
+    for name, records in records_by_name.items():
+        with (world.directory / f"{name}.jsonl").open("w") as file:
+            for record in records:
+                print(json.dumps(record), file=file)
+    print(f"the run failed; its logs and records are in {world.directory}")
+
+
+def main(
+    seed: int = 1,
+    seconds: float = 20.0,
+    vms: int = 5,
+    runs: int = 1,
+    logs: str | None = None,
+) -> None:
+    """Run soaks with ``runs`` consecutive seeds; exit with 1 after a violation.
+
+    The logs of a run that fails are kept in the directory ``logs``, by default the one
+    for temporary files.
+    """
     failed = False
+    parent = None if logs is None else Path(logs)
+    if parent is not None:
+        parent.mkdir(parents=True, exist_ok=True)
     for each in range(seed, seed + runs):
-        for violation in asyncio.run(soak(each, seconds, vms)):
+        for violation in asyncio.run(soak(each, seconds, vms, parent)):
             failed = True
             print(f"seed {each}: {violation}")
     sys.exit(1 if failed else 0)
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -1,13 +1,17 @@
 """Faults and planned operations from which a soak draws at random.
 
-``seconds`` is the duration of a fault. Planned operations must not lose requests; all
-others but ``drop_store_history`` run within ``SoakWorld.unplanned_fault``.
+A fault gets its VMs, its duration in seconds and one of the options of its kind; it
+draws nothing itself. Planned operations must not lose requests; all others but
+``drop_store_history`` run within ``SoakWorld.unplanned_fault``.
 """
 
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from itertools import product
+from typing import Any
 
 from .proxy import LinkMode
 from .world import SoakVm, SoakWorld
@@ -24,44 +28,78 @@
     LinkMode.DROPS_ALL,
 )
 
+# Longest time until the daemons are started again after the loss of all, and after a
+# planned stop.
+MASS_KILL_SECONDS = 1.0
+RESTART_SECONDS = 0.5
+CHANGE_INTERVAL_SECONDS = 0.2
+# A daemon without requests in flight ends within this time of SIGTERM.
+USUAL_STOP_SECONDS = 2.5
+LINKS = ("inbound", "store", "target")
+FORMER_ID, NEW_ID = "former id", "new id"
+TARGET_IDS = (FORMER_ID, NEW_ID)
 TARGET_BEHAVIOURS = ("slow", "fails", "loses", "truncates")
 
-Fault = Callable[[SoakWorld, SoakVm, float], Awaitable[None]]
+Fault = Callable[[SoakWorld, Sequence[SoakVm], float, Any], Awaitable[None]]
 
 
-async def kill_daemon(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
-    """Kill the daemon and start it again."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FaultKind:
+    """A fault, with the options from which one is drawn.
+
+    It occupies its VMs for its duration, ``most_seconds`` of it at most, and
+    ``more_seconds`` beyond it. A drawn fault may take longer, ``stop_daemon`` above
+    all, if the daemon ends late.
+    """
+
+    run: Fault
+    options: tuple[Any, ...] = (None,)
+    hits_all_vms: bool = False
+    most_seconds: float = float("inf")
+    more_seconds: float = 0.0
+
+    @property
+    def name(self) -> str:
+        return self.run.__name__
+
+    def planned_seconds(self, seconds: float) -> float:
+        """Return for how long a fault with this duration occupies its VMs."""
+        return min(seconds, self.most_seconds) + self.more_seconds
+
+
+async def kill_daemon(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, option: None
+) -> None:
+    """Kill the daemon of each VM and start it again."""
     with world.unplanned_fault():
-        await _signal_and_wait(vm, signal.SIGKILL)
+        await asyncio.gather(*(_signal_and_wait(vm, signal.SIGKILL) for vm in vms))
         await asyncio.sleep(seconds)
-        await world.start_daemon(vm)
+        await asyncio.gather(*(world.start_daemon(vm) for vm in vms))
 
 
-async def kill_all_daemons(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
-    """Kill all daemons without a running fault, and start them again."""
-    available = [vm, *(each for each in world.vms if not each.has_running_fault)]
-    for each in available:
-        each.has_running_fault = True
-    with world.unplanned_fault():
-        await asyncio.gather(
-            *(_signal_and_wait(each, signal.SIGKILL) for each in available)
-        )
-        await asyncio.sleep(min(seconds, 1.0))
-        await asyncio.gather(*(world.start_daemon(each) for each in available))
-    for each in available:
-        each.has_running_fault = False
+async def kill_all_daemons(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, option: None
+) -> None:
+    """Kill the daemons of all VMs without another fault, and start them again."""
+    await kill_daemon(world, vms, min(seconds, MASS_KILL_SECONDS), None)
 
 
-async def pause_daemon(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def pause_daemon(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, option: None
+) -> None:
     """Suspend the daemon process for some seconds."""
+    (vm,) = vms
     with world.unplanned_fault():
         vm.sidecar.signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         vm.sidecar.signal(signal.SIGCONT)
 
 
-async def stop_daemon(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def stop_daemon(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, option: None
+) -> None:
     """Stop the daemon with SIGTERM and start it again; planned."""
+    (vm,) = vms
     process = vm.sidecar.process
     assert process is not None
     vm.exit_expected = True
@@ -73,26 +111,34 @@
         if world.no_unplanned_fault_since(vm.stopping_since):
             world.ledger.stop_timeouts.append(vm.name)
         await _signal_and_wait(vm, signal.SIGKILL)
-    await asyncio.sleep(min(seconds, 0.5))
+    await asyncio.sleep(min(seconds, RESTART_SECONDS))
     await world.start_daemon(vm)
 
 
-async def reload_settings(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def reload_settings(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, retry_slack: int
+) -> None:
     """Write changed settings and send SIGHUP; planned."""
-    vm.sidecar.retry_slack = world.fault_random.choice((60, 62))
+    (vm,) = vms
+    vm.sidecar.retry_slack = retry_slack
     vm.sidecar.write_settings(world.directory)
     vm.sidecar.signal(signal.SIGHUP)
 
 
-async def change_configuration(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def change_configuration(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, changes: int
+) -> None:
     """Write configurations in quick succession; planned."""
-    for _ in range(world.fault_random.choice((1, 1, 4))):
+    for _ in range(changes):
         world.change_configuration()
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
 
 
-async def drain_target(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def drain_target(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, id_of_next: str
+) -> None:
     """Drain and remove the target, then start a new one on its address; planned."""
+    (vm,) = vms
     sidecar = vm.sidecar
     sidecar.state = "draining"
     for _ in range(10):
@@ -104,33 +150,44 @@
         await asyncio.sleep(0.3)
     await asyncio.sleep(DRAIN_WAIT_SECONDS)
     await sidecar.remove()
-    _start_new_incarnation(vm)
+    _start_new_incarnation(vm, id_of_next)
 
 
-async def crash_target(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def crash_target(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, id_of_next: str
+) -> None:
     """End the target without notice and start a new incarnation of it."""
+    (vm,) = vms
     with world.unplanned_fault():
         await vm.sidecar.stop_target()
         await asyncio.sleep(seconds)
-        _start_new_incarnation(vm)
+        _start_new_incarnation(vm, id_of_next)
         await vm.sidecar.start_target()
 
 
-async def degrade_target(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def degrade_target(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, behaviour: str
+) -> None:
     """Make the target fail, respond slowly, or lose or truncate responses."""
+    (vm,) = vms
     with world.unplanned_fault():
-        vm.behaviour = world.fault_random.choice(
-            ("slow", "fails", "loses", "truncates")
-        )
+        vm.behaviour = behaviour
         await asyncio.sleep(seconds)
         vm.behaviour = ""
 
 
-async def disturb_link(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def disturb_link(
+    world: SoakWorld,
+    vms: Sequence[SoakVm],
+    seconds: float,
+    link_and_mode: tuple[str, str],
+) -> None:
     """Disturb the link to the store, to other daemons or to the target."""
-    link = vm.link_by_use[world.fault_random.choice(("inbound", "store", "target"))]
+    (vm,) = vms
+    use, mode = link_and_mode
+    link = vm.link_by_use[use]
     with world.unplanned_fault():
-        link.set_mode(world.fault_random.choice(FAULTY_LINK_MODES))
+        link.set_mode(LinkMode[mode])
         await asyncio.sleep(seconds)
         link.set_mode(LinkMode.NORMAL)
 
@@ -138,7 +195,9 @@
 def store_fault(attribute: str, faulty: object, normal: object) -> Fault:
     """Return a fault that changes an attribute of the store for a time."""
 
-    async def fault(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+    async def fault(
+        world: SoakWorld, vms: Sequence[SoakVm], seconds: float, option: None
+    ) -> None:
         with world.unplanned_fault():
             setattr(world.store, attribute, faulty)
             await asyncio.sleep(seconds)
@@ -148,33 +207,58 @@
     return fault
 
 
-async def drop_store_history(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+async def drop_store_history(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, option: None
+) -> None:
     """Make the store drop its history."""
     world.store.drop_history()
 
 
-FAULTS: tuple[Fault, ...] = (
-    kill_daemon,
-    kill_daemon,
-    kill_all_daemons,
-    pause_daemon,
-    stop_daemon,
-    stop_daemon,
-    stop_daemon,
-    reload_settings,
-    change_configuration,
-    change_configuration,
-    drain_target,
-    drain_target,
-    crash_target,
-    degrade_target,
-    disturb_link,
-    disturb_link,
-    disturb_link,
-    store_fault("down", True, False),
-    store_fault("delay", 0.4, 0.0),
-    store_fault("drops_responses", True, False),
-    drop_store_history,
+# Each kind is listed as often as it is likely.
+FAULTS: tuple[FaultKind, ...] = (
+    *[FaultKind(run=kill_daemon)] * 2,
+    FaultKind(run=kill_all_daemons, hits_all_vms=True, most_seconds=MASS_KILL_SECONDS),
+    FaultKind(run=pause_daemon),
+    *[
+        FaultKind(
+            run=stop_daemon,
+            most_seconds=RESTART_SECONDS,
+            more_seconds=USUAL_STOP_SECONDS,
+        )
+    ]
+    * 3,
+    FaultKind(run=reload_settings, options=(60, 62), most_seconds=0.0),
+    *[
+        FaultKind(
+            run=change_configuration,
+            options=(1, 1, 4),
+            most_seconds=0.0,
+            more_seconds=4 * CHANGE_INTERVAL_SECONDS,
+        )
+    ]
+    * 2,
+    *[
+        FaultKind(
+            run=drain_target,
+            options=TARGET_IDS,
+            most_seconds=0.0,
+            more_seconds=DRAIN_WAIT_SECONDS + 0.3,
+        )
+    ]
+    * 2,
+    FaultKind(run=crash_target, options=TARGET_IDS),
+    FaultKind(run=degrade_target, options=TARGET_BEHAVIOURS),
+    *[
+        FaultKind(
+            run=disturb_link,
+            options=tuple(product(LINKS, (mode.name for mode in FAULTY_LINK_MODES))),
+        )
+    ]
+    * 3,
+    FaultKind(run=store_fault("down", True, False)),
+    FaultKind(run=store_fault("delay", 0.4, 0.0)),
+    FaultKind(run=store_fault("drops_responses", True, False)),
+    FaultKind(run=drop_store_history, most_seconds=0.0),
 )
 
 
@@ -188,11 +272,11 @@
     await process.wait()
 
 
-def _start_new_incarnation(vm: SoakVm) -> None:
-    """Start a new incarnation of the target, sometimes under its former id."""
+def _start_new_incarnation(vm: SoakVm, id_of_next: str) -> None:
+    """Start a new incarnation of the target under its former id or a new one."""
     sidecar = vm.sidecar
     sidecar.start_time_ms = int(time.time() * 1000)
     sidecar.sequence = 0
     sidecar.state = "ready"
-    if sidecar.start_time_ms % 2:
+    if id_of_next == NEW_ID:
         sidecar.target_id = f"i-{vm.name}-{sidecar.start_time_ms}"
--- a/devtools/soak/ledger.py
+++ b/devtools/soak/ledger.py
@@ -50,6 +50,8 @@
 
     sent: dict[str, Attempt] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
+    # Each fault with the times at which it started and ended.
+    faults: list[str] = field(default_factory=list)
     drained_at_by_target: dict[str, float] = field(default_factory=dict)
     version_reverts: list[str] = field(default_factory=list)
     lagging: list[str] = field(default_factory=list)
--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -60,7 +60,8 @@
         self.seen_version = 0
         self.stopping_since: float | None = None
         self.behaviour = ""
-        self.has_running_fault = False
+        # Held while a fault concerns this VM.
+        self.fault_lock = asyncio.Lock()
         # A fault has stopped or killed the daemon.
         self.exit_expected = False
         addresses = self.sidecar.address_by_use
@@ -89,10 +90,8 @@
     """Everything that runs in a soak; faults change it from outside."""
 
     def __init__(self, *, vms: int, seed: int, directory: Path) -> None:
-        # Traffic draws as often as timing allows; faults have a separate generator, so
-        # that a seed always gives the same faults.
+        # Traffic draws as often as timing allows; the faults are drawn before it.
         self.traffic_random = Random(f"traffic {seed}")
-        self.fault_random = Random(seed)
         self.directory = directory
         self.ledger = Ledger()
         self.store = PlatformStore()
