--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -23,9 +23,9 @@
     PlatformStore,
     Sidecar,
     configuration,
-    free_port,
     route,
 )
+from ..reservations import reserve_port
 from . import pipelining
 from .ledger import Attempt, Ledger, Run
 from .proxy import LoopbackProxy
@@ -65,7 +65,8 @@
         self.seen_version = 0
         self.stopping_since: float | None = None
         self.behaviour = ""
-        self.has_running_fault = False
+        # Held while a fault concerns this VM.
+        self.fault_lock = asyncio.Lock()
         # A fault has stopped or killed the daemon.
         self.exit_expected = False
         addresses = self.sidecar.address_by_use
@@ -74,7 +75,7 @@
         }
         for use in self.link_by_use:
             addresses[use] = Address(PROXY_HOST, addresses[use].port)
-        proxy_address = Address(PROXY_HOST, free_port())
+        proxy_address = Address(PROXY_HOST, reserve_port())
         self.link_by_use["store"] = LoopbackProxy(
             listen=proxy_address, server=store.address
         )
@@ -94,10 +95,8 @@
     """Everything that runs in a soak; faults change it from outside."""
 
     def __init__(self, *, vms: int, seed: int, directory: Path) -> None:
-        # Traffic draws as often as timing allows; faults have a separate generator, so
-        # that a seed always gives the same faults.
+        # Traffic draws as often as timing allows; the faults are drawn before it.
         self.traffic_random = Random(f"traffic {seed}")
-        self.fault_random = Random(seed)
         self.directory = directory
         self.ledger = Ledger()
         self.store = PlatformStore()
