Tell a second copy of an answer from the next answer

Cause: a server may send a second copy of an answer when its connection is in use again. The host daemon accepted any answer without an echoed attempt id, and any answer to a request without one; the entry daemon accepted any answer of a host daemon; an answer to a request could be taken as that of a health check. The next client got an answer that was not its own.

Change: replies between daemons name the attempt id (cs-attempt). An answer that names another request is dropped, in both places and for health checks. A connection whose answer names no request is not used again, so no copy can meet a later request.

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -221,7 +221,7 @@
         await self._runner.setup()
         port = self.address_by_use["target"].port
         await web.TCPSite(self._runner, HOST, port).start()
-        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+        self.start_heartbeats()
 
     def write_settings(self, directory: Path) -> Path:
         """Write the settings file as the platform does and return its path."""
@@ -246,6 +246,10 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def start_heartbeats(self) -> None:
+        """Start the periodic heartbeats of the target."""
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+
     def stop_heartbeats(self) -> None:
         """Stop the periodic heartbeats of the target."""
         if self._heartbeat_task is not None:
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -19,6 +19,8 @@
     ExchangeFailed,
     Exchanger,
     FailureReason,
+    ResponseMatch,
+    match_attempt,
     parse_address,
 )
 from ...protocol.http1 import HttpRequest, HttpResponse
@@ -358,18 +360,16 @@
         request = hosted.request
         dispatched_at = self._loop.time()
 
-        def belongs_to_request(response: HttpResponse) -> bool:
+        def match(response: HttpResponse) -> ResponseMatch:
             echoed = self._codec.attempt_id_of(response)
-            return (
-                echoed is None or not request.attempt_id or echoed == request.attempt_id
-            )
+            return match_attempt(echoed, request.attempt_id)
 
         try:
             result = await self._pool.exchange(
                 address,
                 self._codec.encode(request, heartbeat.target, remaining_time),
                 timeout=remaining_time + RESPONSE_MARGIN_SECONDS,
-                accept=belongs_to_request,
+                match=match,
                 max_idle=None if hosted.safe else UNSAFE_MAX_IDLE_SECONDS,
             )
         except asyncio.CancelledError:
--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -4,7 +4,15 @@
 
 from ...clock import Clock
 from ...protocol import peer_calls
-from ...protocol.exchanges import Address, ExchangeFailed, Exchanger, FailureReason
+from ...protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    Exchanger,
+    FailureReason,
+    ResponseMatch,
+    match_attempt,
+)
+from ...protocol.http1 import HttpResponse
 from ...state.calls import HostedRequest, HostOutcome, HostReason, HostReply
 
 # Added to the remaining time of the request: the host daemon times requests out itself,
@@ -51,10 +59,15 @@
 async def _forward_once(
     pool: Exchanger, address: Address, hosted: HostedRequest
 ) -> HostReply:
+    def match(response: HttpResponse) -> ResponseMatch:
+        echoed = peer_calls.attempt_id_of(response)
+        return match_attempt(echoed, hosted.request.attempt_id)
+
     result = await pool.exchange(
         address,
         peer_calls.encode_request(hosted),
         timeout=hosted.remaining_time + REPLY_MARGIN_SECONDS,
+        match=match,
     )
     if isinstance(result, ExchangeFailed):
         return _reply_of_failure(result)
--- a/src/cassiasail/_internal/protocol/exchanges.py
+++ b/src/cassiasail/_internal/protocol/exchanges.py
@@ -49,6 +49,30 @@
     sent: bool
 
 
+class ResponseMatch(Enum):
+    """Whether a response belongs to the request that was sent last on its connection.
+
+    A server may send a second copy of a response when its connection is in use again.
+    """
+
+    OWN = "own"
+    # The response names no request. It is delivered, but its connection is not used
+    # again: a second copy of it could not be told from the response to a later request.
+    UNKNOWN = "unknown"
+    # The response names another request and is dropped.
+    OTHER = "other"
+
+
+def match_attempt(echoed: str | None, attempt_id: str) -> ResponseMatch:
+    """Return the match of a response that echoes ``echoed``, None if it echoes none.
+
+    ``attempt_id`` is that of the request, empty if it has none.
+    """
+    if not echoed:
+        return ResponseMatch.UNKNOWN
+    return ResponseMatch.OWN if echoed == attempt_id else ResponseMatch.OTHER
+
+
 class Exchanger(Protocol):
     """Sends requests and returns complete responses; never raises for a failure."""
 
@@ -58,16 +82,16 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool] | None = None,
+        match: Callable[[HttpResponse], ResponseMatch] | None = None,
         max_idle: float | None = None,
         grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
         """Send ``request`` to ``address`` and return the response.
 
         The response has to arrive within ``timeout`` seconds; one that is arriving by
-        then may take up to ``grace`` seconds longer. A response for which ``accept``
-        returns false belongs to an earlier request and is dropped. A connection that
-        was idle for more than ``max_idle`` seconds is not used.
+        then may take up to ``grace`` seconds longer. ``match`` returns to which request
+        a response belongs; without it each response is taken as that of the request. A
+        connection that was idle for more than ``max_idle`` seconds is not used.
         """
         ...
 
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -6,8 +6,8 @@
 ``cs-resent`` for the second copy of a request, with the milliseconds since the first.
 They are headers of their own because builds without them accept a fixed number of
 fields in ``cs-call``. The header ``cs-reply`` of the response carries the outcome and
-the load report of the target. Fields are separated by commas; those of ``cs-call`` are
-percent-encoded.
+the load report of the target, and ``cs-attempt`` the attempt id of the request. Fields
+are separated by commas; those of ``cs-call`` are percent-encoded.
 """
 
 from urllib.parse import quote, unquote
@@ -26,6 +26,7 @@
 
 CALL_HEADER = b"cs-call"
 REPLY_HEADER = b"cs-reply"
+ATTEMPT_HEADER = b"cs-attempt"
 RETRY_HEADER = b"cs-retry"
 RESENT_HEADER = b"cs-resent"
 _HOST = b"host"
@@ -33,7 +34,7 @@
     (CALL_HEADER, RETRY_HEADER, RESENT_HEADER, _HOST, b"content-length")
 )
 _ADDED_REPLY_HEADERS = frozenset(
-    (REPLY_HEADER, b"content-length", b"connection", b"keep-alive")
+    (REPLY_HEADER, ATTEMPT_HEADER, b"content-length", b"connection", b"keep-alive")
 )
 # HTTP status of replies without a response of the target; only daemons see it.
 _NO_RESPONSE_STATUS = 299
@@ -121,8 +122,11 @@
         return None
 
 
-def encode_reply(reply: HostReply) -> HttpResponse:
-    """Return the HTTP response that carries ``reply`` to the entry daemon."""
+def encode_reply(reply: HostReply, *, attempt_id: str) -> HttpResponse:
+    """Return the HTTP response that carries ``reply`` to the entry daemon.
+
+    ``attempt_id`` is that of the request, empty if it has none.
+    """
     load = reply.load
     fields = [
         reply.outcome.value,
@@ -138,18 +142,26 @@
             f"{load.failure_share:.2f}",
             str(int(load.route_service_seconds * 1000)),
         ]
-    reply_header = (REPLY_HEADER, ",".join(fields).encode())
+    own_headers: tuple[Header, ...] = ((REPLY_HEADER, ",".join(fields).encode()),)
+    if attempt_id:
+        own_headers += ((ATTEMPT_HEADER, attempt_id.encode("latin-1")),)
     response = reply.response
     if response is None:
-        return HttpResponse(status=_NO_RESPONSE_STATUS, headers=(reply_header,))
+        return HttpResponse(status=_NO_RESPONSE_STATUS, headers=own_headers)
     return HttpResponse(
         status=response.status,
         reason=response.reason,
-        headers=(reply_header, *response.headers),
+        headers=(*own_headers, *response.headers),
         body=response.body,
     )
 
 
+def attempt_id_of(response: HttpResponse) -> str | None:
+    """Return the attempt id that a reply names, None if it names none."""
+    value = response.header(ATTEMPT_HEADER)
+    return None if value is None else value.decode("latin-1")
+
+
 def decode_reply(response: HttpResponse) -> HostReply | None:
     """Return the reply in ``response``, None if it is malformed."""
     value = response.header(REPLY_HEADER)
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -5,7 +5,7 @@
 import sys
 from collections.abc import Callable
 
-from ...platform import health, heartbeats
+from ...platform import health, heartbeats, requests
 from ...platform.settings import SidecarSettings
 from ..background import BackgroundTasks
 from ..coordination.mesh.balancing import Fleet
@@ -17,7 +17,12 @@
     TargetRegistration,
 )
 from ..events import EventLog
-from ..protocol.exchanges import ExchangeFailed, Exchanger
+from ..protocol.exchanges import (
+    ExchangeFailed,
+    Exchanger,
+    ResponseMatch,
+    match_attempt,
+)
 from ..protocol.http1 import HttpRequest, HttpResponse
 from ..state.hosts import (
     HostRecord,
@@ -183,6 +188,7 @@
             self._settings.target_address,
             health.encode_health_check(service.health_path, heartbeat.address),
             timeout=HEALTH_CHECK_TIMEOUT_SECONDS,
+            match=_match_health_check,
         )
         if isinstance(result, ExchangeFailed):
             outcome = result.reason.value
@@ -246,3 +252,8 @@
         # Newer than every stored version: only this daemon writes the record.
         self._fleet.update(record, sys.maxsize)
         self._publisher.set_wanted(encode_record(record))
+
+
+def _match_health_check(response: HttpResponse) -> ResponseMatch:
+    """Return whether ``response`` may belong to a health check, which has no id."""
+    return match_attempt(requests.TARGET_CODEC.attempt_id_of(response), "")
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -342,7 +342,8 @@
         hosted = peer_calls.decode_request(request)
         if hosted is None:
             return HttpResponse(status=400)
-        return peer_calls.encode_reply(await self._dispatcher.execute(hosted))
+        reply = await self._dispatcher.execute(hosted)
+        return peer_calls.encode_reply(reply, attempt_id=hosted.request.attempt_id)
 
     async def _forward(self, host_view: HostView, hosted: HostedRequest) -> HostReply:
         """Dispatch ``hosted`` to this VM's target or forward it to its host daemon."""
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from ...protocol.exchanges import ExchangeFailed, FailureReason
+from ...protocol.exchanges import ExchangeFailed, FailureReason, ResponseMatch
 from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_request
 from .memory import BodyMemory
 
@@ -40,7 +40,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[HttpResponse | ExchangeFailed] | None = None
-        self._accept: Callable[[HttpResponse], bool] | None = None
+        self._match: Callable[[HttpResponse], ResponseMatch] | None = None
         self._request_method = b""
         # Bytes received in this exchange, and those of them that belong to bodies.
         self._received_bytes = 0
@@ -154,23 +154,23 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool] | None = None,
+        match: Callable[[HttpResponse], ResponseMatch] | None = None,
         grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
         """Send ``request`` and return its response, or the reason of the failure.
 
         ``timeout`` is in seconds; a response that is arriving by then may take up to
-        ``grace`` seconds longer. A response for which ``accept`` returns false belongs
-        to an earlier request; it is dropped and the next one awaited. Cancellation
-        aborts the connection.
+        ``grace`` seconds longer. A response that belongs to another request by
+        ``match`` is dropped and the next one awaited. Cancellation aborts the
+        connection.
         """
         transport = self._transport
         if transport is None or not self.is_open:
             return ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
         waiter = self._loop.create_future()
-        self._waiter, self._accept, self._request_method = (
+        self._waiter, self._match, self._request_method = (
             waiter,
-            accept,
+            match,
             request.method,
         )
         self._received_bytes = self._received_body_bytes = 0
@@ -229,7 +229,7 @@
         self._has_framing = False
 
     def _complete(self) -> None:
-        """Deliver the response that was read, or drop it if it is not accepted."""
+        """Deliver the response that was read, or drop that of another request."""
         response = HttpResponse(
             status=self._status,
             reason=self._reason,
@@ -238,8 +238,10 @@
         )
         self._body_chunks = []
         self._memory.release(self)
-        if self._accept is not None and not self._accept(response):
+        match = ResponseMatch.OWN if self._match is None else self._match(response)
+        if match is not ResponseMatch.OWN:
             self.reusable = False
+        if match is ResponseMatch.OTHER:
             return
         waiter, self._waiter = self._waiter, None
         self._read_idle_timeout(response)
--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -3,7 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
-from ...protocol.exchanges import Address, ExchangeFailed, FailureReason
+from ...protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    FailureReason,
+    ResponseMatch,
+)
 from ...protocol.http1 import HttpRequest, HttpResponse
 from .client import ClientConnection, connect
 from .memory import MAX_RESPONSE_BODIES_BYTES, BodyMemory
@@ -58,7 +63,7 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool] | None = None,
+        match: Callable[[HttpResponse], ResponseMatch] | None = None,
         max_idle: float | None = None,
         grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
@@ -86,7 +91,7 @@
             connection = opened
         remaining = deadline - self._loop.time()
         result = await connection.exchange(
-            request, timeout=remaining, accept=accept, grace=grace
+            request, timeout=remaining, match=match, grace=grace
         )
         if connection.is_open:
             self._add_idle(address, connection)
--- a/tests/lib/retry_world.py
+++ b/tests/lib/retry_world.py
@@ -19,7 +19,11 @@
 from cassiasail._internal.coordination.mesh.hosting import TargetDispatcher
 from cassiasail._internal.coordination.mesh.registration import TargetHeartbeat
 from cassiasail._internal.ids import DataCentre, Region, ServiceName, TargetId
-from cassiasail._internal.protocol.exchanges import Address, ExchangeFailed
+from cassiasail._internal.protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    ResponseMatch,
+)
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.calls import (
     ClientRequest,
@@ -268,7 +272,7 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool] | None = None,
+        match: Callable[[HttpResponse], ResponseMatch] | None = None,
         max_idle: float | None = None,
         grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -22,6 +22,7 @@
     Address,
     ExchangeFailed,
     FailureReason,
+    ResponseMatch,
 )
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.calls import (
@@ -88,7 +89,7 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool] | None = None,
+        match: Callable[[HttpResponse], ResponseMatch] | None = None,
         max_idle: float | None = None,
     ) -> HttpResponse | ExchangeFailed:
         self.requests.append(request)
@@ -302,9 +303,13 @@
 
     async def main() -> None:
         reply = await dispatcher_for(FakeTargetPool()).execute(SAFE)
-        decoded = peer_calls.decode_reply(peer_calls.encode_reply(reply))
+        message = peer_calls.encode_reply(reply, attempt_id="id-1")
+        assert peer_calls.attempt_id_of(message) == "id-1"
+        decoded = peer_calls.decode_reply(message)
         assert decoded is not None
         assert decoded.response is not None
+        # Its client gets the headers of the target only.
+        assert decoded.response.headers == OK.headers
         assert decoded.response.body == b"done"
         assert decoded.outcome is HostOutcome.ANSWERED
 
--- a/tests/unit/mesh/test_http1_client.py
+++ b/tests/unit/mesh/test_http1_client.py
@@ -10,6 +10,7 @@
     Address,
     ExchangeFailed,
     FailureReason,
+    ResponseMatch,
 )
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.transport.http1.pool import (
@@ -62,14 +63,13 @@
         address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
         pool = ConnectionPool(connect_timeout=1, ack_timeout=1, idle_timeout=10)
 
-        def is_expected(response: HttpResponse) -> bool:
-            return not expected_id or response.header(b"id") == expected_id
+        def match(response: HttpResponse) -> ResponseMatch:
+            is_expected = not expected_id or response.header(b"id") == expected_id
+            return ResponseMatch.OWN if is_expected else ResponseMatch.OTHER
 
         results = []
         for _ in responses:
-            result = await pool.exchange(
-                address, REQUEST, timeout=0.5, accept=is_expected
-            )
+            result = await pool.exchange(address, REQUEST, timeout=0.5, match=match)
             results.append(result)
             await asyncio.sleep(0.02)
         pool.close()
