Take an unread second copy of a request as no refusal

Cause: the second copy of an unsafe request, sent after a lost connection, may meet a host daemon without memory for its body, which answers 503 without reading it. This was taken as "not run", although the first copy may be running: the request was sent to another target and ran twice, or its client was told that it had not run.

Change: a refusal of the second copy counts only if the host daemon read it, which it shows by its load report. Otherwise the outcome stays unknown (502).

--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -23,7 +23,11 @@
 # Failures after which an unsafe request may be sent a second time: the host daemon
 # recognizes its attempt id and replies to the second copy with the result of the first.
 _CONNECTION_LOST_REASONS = frozenset(
-    (FailureReason.RESET, FailureReason.CUT_SHORT, FailureReason.MALFORMED)
+    (
+        FailureReason.RESET,
+        FailureReason.CUT_SHORT,
+        FailureReason.MALFORMED,
+    )
 )
 
 
@@ -51,9 +55,11 @@
     if copy.remaining_time <= 0:
         return reply
     second = await _forward_once(pool, address, copy)
-    # The first copy may have been executed, so its reply is returned if the second copy
-    # could not be sent.
-    return reply if second.reason is HostReason.PEER_UNREACHABLE else second
+    if second.outcome is HostOutcome.REFUSED and second.load is None:
+        # The host daemon did not read the second copy: each reply to a request that it
+        # read has a load report. It may have executed the first copy.
+        return reply
+    return second
 
 
 async def _forward_once(
