Treat an answer of a daemon without end as a lost one

Cause: an answer of a host daemon that was dropped for its size was reported as a time-out: the client got 504 at once, and the VM was not suspected.

Change: it counts as a lost connection. The VM is suspected, an unsafe request is sent once more, which fetches the result of an answer dropped only because other bodies needed the memory, and the client gets 502 otherwise.

Result: tests with real processes: twenty targets of one daemon, or twenty daemons that one daemon reads from, send heads (8 kinds) or bodies (3 kinds) without end at once.

--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -27,6 +27,8 @@
         FailureReason.RESET,
         FailureReason.CUT_SHORT,
         FailureReason.MALFORMED,
+        # The reply never ended, or was dropped because other bodies needed its memory.
+        FailureReason.TOO_LARGE,
     )
 )
 
--- a/tests/unit/mesh/test_endless_responses.py
+++ b/tests/unit/mesh/test_endless_responses.py
@@ -17,11 +17,10 @@
 from cassiasail._internal.transport.http1.memory import BodyMemory
 from cassiasail._internal.transport.http1.pool import ConnectionPool
 from cassiasail._internal.transport.http1.server import HttpServer
+from tests.lib.endless import ENDLESS_BODIES, ENDLESS_HEADS, FILLER, OK_HEAD
 
 REQUEST = HttpRequest(method=b"GET", target=b"/", headers=((b"host", b"h"),))
-FILLER = b"x" * 8192
 HEAD_LIMIT_BYTES = 1 << 20
-OK_HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
 def endless(start: bytes, part: bytes) -> Iterator[bytes]:
@@ -30,32 +29,6 @@
         yield part
 
 
-ENDLESS_HEADS = {
-    "status line": (b"HTTP/1.1 200 ", FILLER),
-    "header line": (OK_HEAD + b"x: ", FILLER),
-    "header lines": (OK_HEAD, b"x: " + FILLER + b"\r\n"),
-    "short header lines": (OK_HEAD, b"x: y\r\n" * 1000),
-    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 300),
-    "trailers": (
-        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n0\r\n",
-        b"x: " + FILLER + b"\r\n",
-    ),
-    "chunk extension": (
-        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n1;a=",
-        FILLER,
-    ),
-    "no protocol": (FILLER, FILLER),
-}
-ENDLESS_BODIES = {
-    "without length": (OK_HEAD + b"\r\n", FILLER),
-    "long length": (OK_HEAD + b"content-length: 99999999999\r\n\r\n", FILLER),
-    "chunks": (
-        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n",
-        b"2000\r\n" + FILLER + b"\r\n",
-    ),
-}
-
-
 class EndlessServer:
     """Sends ``parts`` to each client until the client closes the connection."""
 
--- a/tests/unit/mesh/test_peers.py
+++ b/tests/unit/mesh/test_peers.py
@@ -2,9 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
 
 from cassiasail._internal.coordination.mesh import peers
 from cassiasail._internal.ids import ServiceName
+from cassiasail._internal.protocol import peer_calls
 from cassiasail._internal.protocol.exchanges import (
     Address,
     ExchangeFailed,
@@ -16,7 +20,9 @@
     ClientRequest,
     HostedRequest,
     HostOutcome,
+    HostReason,
     HostReply,
+    TargetResponse,
 )
 from tests.lib.clocks import VirtualClock
 
@@ -41,7 +47,15 @@
     max_wait=1.0,
 )
 RESET = ExchangeFailed(reason=FailureReason.RESET, sent=True)
+TOO_LARGE = ExchangeFailed(reason=FailureReason.TOO_LARGE, sent=True)
 NO_MEMORY = HttpResponse(status=503)
+RAN = peer_calls.encode_reply(
+    HostReply(
+        outcome=HostOutcome.ANSWERED,
+        response=TargetResponse(status=200, reason=b"", headers=(), body=b"ran"),
+    ),
+    attempt_id="id-1",
+)
 
 
 class FakePool:
@@ -85,3 +99,27 @@
     reply = forward(HOSTED, RESET, NO_MEMORY)
     assert reply.outcome is HostOutcome.FAILED
     assert forward(HOSTED, NO_MEMORY).outcome is HostOutcome.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("safe", "results", "outcome"),
+    [
+        (False, (TOO_LARGE, RAN), HostOutcome.ANSWERED),
+        (False, (TOO_LARGE, TOO_LARGE), HostOutcome.FAILED),
+        (True, (TOO_LARGE,), HostOutcome.FAILED),
+    ],
+)
+def test_endless_answer_is_a_lost_one(
+    safe: bool,
+    results: tuple[HttpResponse | ExchangeFailed, ...],
+    outcome: HostOutcome,
+) -> None:
+    """Guards against an answer without end that is reported as a time-out.
+
+    The client then got 504 long before any time-out, and the VM was not suspected. An
+    answer that was dropped for lack of memory is fetched by a second copy.
+    """
+    reply = forward(replace(HOSTED, safe=safe), *results)
+    assert reply.outcome is outcome
+    if outcome is HostOutcome.FAILED:
+        assert reply.reason is HostReason.PEER_LOST
