Confirm a target after a restart by its health check alone

Cause: for 15 s after a restart a daemon applied a heartbeat once a newer one followed. Both may have been sent before the target left, or by its predecessor at the same address: the target was in use again, its record READY replaced LEAVING in the store, and requests named the former target. A health check could also confirm a target that passes it while leaving, before the daemon had read its own record.

Change: only a health check confirms. It starts once the table of VMs was read, and counts for the newest heartbeat of its incarnation, so that slow checks are no harm. Heartbeats of an earlier incarnation than the one being checked are stale. The test that asked for the second heartbeat is replaced by ones that ask for the opposite and for repeated checks, which is what it guarded (a target out of service by a failed check).

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -108,6 +108,11 @@
             "ver": self.version,
         }
 
+    def value(self, table: str, key: str) -> bytes:
+        """Return the value of a row, empty if there is none."""
+        row = self.row_by_id.get((table, key))
+        return b"" if row is None else base64.b64decode(row["value"])
+
     def drop_history(self) -> None:
         """Drop the feed history, so that readers must read the tables again."""
         self._history_start = self.version
--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -8,7 +8,8 @@
 A daemon may acknowledge that the target is leaving and then restart before this is in
 the store. A late heartbeat could then put the leaving target back into service. While
 late heartbeats may still arrive after a start, the first heartbeat of a target is
-therefore applied only once a health check or a newer heartbeat confirms it.
+therefore applied only once a health check confirms it. A newer heartbeat does not: both
+may be late.
 """
 
 from collections.abc import Callable
@@ -98,13 +99,19 @@
             return HeartbeatVerdict.STALE
         if incarnation in self._ended_incarnations and not heartbeat.leaving:
             return HeartbeatVerdict.STALE
-        current = self.current
+        current, unconfirmed = self.current, self._unconfirmed
         if (
             current is not None
             and current.incarnation == incarnation
             and heartbeat.sequence <= current.sequence
         ):
             return HeartbeatVerdict.STALE
+        if (
+            unconfirmed is not None
+            and heartbeat.start_time_ms < unconfirmed.start_time_ms
+            and self._may_get_old_heartbeats()
+        ):
+            return HeartbeatVerdict.STALE
         if self._needs_confirmation(heartbeat):
             self._unconfirmed = heartbeat
             return HeartbeatVerdict.UNCONFIRMED
@@ -112,28 +119,22 @@
         return HeartbeatVerdict.APPLIED
 
     def confirm(self, heartbeat: TargetHeartbeat) -> None:
-        """Apply ``heartbeat`` after a health check showed that its target is ready.
+        """Apply a heartbeat after a health check showed that its target is ready.
 
-        Does nothing if another heartbeat or a removal arrived meanwhile.
+        ``heartbeat`` started the check; a newer one of the same incarnation that came
+        meanwhile is applied in its place. Does nothing if the target was removed or
+        another incarnation was heard of.
         """
-        if self._unconfirmed == heartbeat:
-            self._apply(heartbeat)
+        unconfirmed = self._unconfirmed
+        if unconfirmed and unconfirmed.incarnation == heartbeat.incarnation:
+            self._apply(unconfirmed)
 
     def _needs_confirmation(self, heartbeat: TargetHeartbeat) -> bool:
-        if (
-            heartbeat.leaving
-            or self.current is not None
-            or not self._may_get_old_heartbeats()
-        ):
-            return False
-        previous = self._unconfirmed
-        is_newer = (
-            previous is not None
-            and previous.sequence != RESTORED_SEQUENCE
-            and previous.incarnation == heartbeat.incarnation
-            and previous.sequence < heartbeat.sequence
+        return (
+            not heartbeat.leaving
+            and self.current is None
+            and self._may_get_old_heartbeats()
         )
-        return not is_newer
 
     def _apply(self, heartbeat: TargetHeartbeat) -> None:
         self._latest_start_time_ms = heartbeat.start_time_ms
@@ -185,7 +186,11 @@
                 self.current = None
                 self._changed(None)
             return None
-        if current is not None or self._unconfirmed is not None:
+        unconfirmed = self._unconfirmed
+        if current is not None or (
+            unconfirmed is not None
+            and unconfirmed.start_time_ms >= record.start_time_ms
+        ):
             return None
         self._unconfirmed = TargetHeartbeat(
             target=record.target,
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -65,7 +65,7 @@
         self,
         *,
         settings: SidecarSettings,
-        config: Callable[[], MeshConfig | None],
+        config_once_loaded: Callable[[], MeshConfig | None],
         dispatcher: TargetDispatcher,
         fleet: Fleet,
         publisher: RecordPublisher,
@@ -73,7 +73,7 @@
         events: EventLog,
     ) -> None:
         self._settings = settings
-        self._config = config
+        self._config_once_loaded = config_once_loaded
         self._dispatcher = dispatcher
         self._fleet = fleet
         self._publisher = publisher
@@ -202,11 +202,13 @@
     async def _wait_for_service(self, heartbeat: TargetHeartbeat) -> MeshService | None:
         """Wait for a configuration and return the service of ``heartbeat`` in it.
 
-        Returns None if the service is not configured or no configuration arrives.
+        Also waits for the record that this daemon stored before a restart, because a
+        target may pass its health check while it is leaving. Returns None if the
+        service is not configured or no configuration arrives.
         """
         deadline = self._loop.time() + OLD_HEARTBEATS_SECONDS
         while self._loop.time() < deadline:
-            config = self._config()
+            config = self._config_once_loaded()
             if config is not None:
                 return config.service_by_name.get(heartbeat.service)
             await asyncio.sleep(CONFIG_POLL_INTERVAL_SECONDS)
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -28,7 +28,7 @@
 from ..protocol.http1 import HttpRequest, HttpResponse
 from ..state.calls import HostedRequest, HostReply
 from ..state.hosts import TargetState
-from ..state.mesh_config import ClientLimits
+from ..state.mesh_config import ClientLimits, MeshConfig
 from ..transport.http1.memory import (
     MAX_REQUEST_BODIES_BYTES,
     MAX_RESPONSE_BODIES_BYTES,
@@ -177,7 +177,7 @@
         )
         self._own_target = OwnTarget(
             settings=settings,
-            config=lambda: self._store_view.config,
+            config_once_loaded=self._config_once_loaded,
             dispatcher=self._dispatcher,
             fleet=self._fleet,
             publisher=self._publisher,
@@ -315,6 +315,10 @@
     def _in_flight(self) -> int:
         return self._clients_server.in_flight + self._peers_server.in_flight
 
+    def _config_once_loaded(self) -> MeshConfig | None:
+        """Return the configuration, None until the table of VMs was read as well."""
+        return self._store_view.config if self._store_view.loaded else None
+
     def _client_limits(self) -> ClientLimits:
         config = self._store_view.config
         return DEFAULT_LIMITS if config is None else config.limits
--- a/tests/unit/mesh/test_registration.py
+++ b/tests/unit/mesh/test_registration.py
@@ -161,13 +161,55 @@
     assert registration.receive(HEARTBEAT) is HeartbeatVerdict.UNCONFIRMED
 
 
-def test_newer_heartbeat_confirms_a_target() -> None:
-    """Guards against a target kept out of service by a wrongly failed check."""
+def test_newer_heartbeat_does_not_confirm_a_target() -> None:
+    """Guards against a target that left and is in use again by two late heartbeats."""
     registration = new_registration(may_get_old_heartbeats=True)
     registration.receive(HEARTBEAT)
-    assert (
-        registration.receive(replace(HEARTBEAT, sequence=6)) is HeartbeatVerdict.APPLIED
-    )
+    newer = replace(HEARTBEAT, sequence=6)
+    assert registration.receive(newer) is HeartbeatVerdict.UNCONFIRMED
+    assert registration.state is TargetState.ABSENT
+
+
+def test_health_check_confirms_the_newest_heartbeat() -> None:
+    """Guards against a target kept out of service by slow or wrongly failed checks.
+
+    Each heartbeat starts a check. One that ends behind the next heartbeat counts too.
+    """
+    registration = new_registration(may_get_old_heartbeats=True)
+    newer = replace(HEARTBEAT, sequence=6)
+    registration.receive(HEARTBEAT)
+    registration.receive(newer)
+    registration.confirm(HEARTBEAT)
+    assert registration.current == newer
+
+
+def test_late_heartbeat_of_a_former_target_does_not_stop_a_health_check() -> None:
+    """Guards against a target left unused because its predecessor is heard again."""
+    registration = new_registration(may_get_old_heartbeats=True)
+    former = replace(HEARTBEAT, target=TargetId("i-0"), start_time_ms=500)
+    registration.receive(HEARTBEAT)
+    assert registration.receive(former) is HeartbeatVerdict.STALE
+    registration.confirm(HEARTBEAT)
+    assert registration.current == HEARTBEAT
+
+
+def test_stored_record_replaces_a_late_heartbeat_of_a_former_target() -> None:
+    """Guards against the same if the late heartbeat comes before the stored record."""
+    registration = new_registration(may_get_old_heartbeats=True)
+    registration.receive(replace(HEARTBEAT, target=TargetId("i-0"), start_time_ms=500))
+    restored = registration.restore(record_of(TargetState.READY))
+    assert restored is not None
+    registration.confirm(restored)
+    assert registration.current == restored
+
+
+def test_health_check_does_not_confirm_another_incarnation() -> None:
+    """Guards against a target in use whose own health was not checked."""
+    registration = new_registration(may_get_old_heartbeats=True)
+    registration.receive(HEARTBEAT)
+    registration.receive(replace(HEARTBEAT, target=TargetId("i-2"), start_time_ms=2000))
+    registration.confirm(HEARTBEAT)
+    assert registration.state is TargetState.ABSENT
 
 
 def test_health_check_confirms_only_its_own_heartbeat() -> None:
