Keep the slots of requests that a silent target still runs

Cause: when a target was heard of again after missed heartbeats, its daemon took all slots as free, as for a new incarnation. Requests that had run all the while came on top: 8 at a target with 4 slots.

Change: the same incarnation keeps its queue, running requests and measurements.

--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -144,6 +144,11 @@
             if not queued.granted.done():
                 queued.granted.set_result(reason)
 
+    def reopen(self, slots: int) -> None:
+        """Accept requests again after ``close``; those that still run count."""
+        self.closed_reason = None
+        self.resize(slots)
+
     def resize(self, slots: int) -> None:
         """Apply a new number of slots; requests above it finish normally."""
         self.slots = slots
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -176,7 +176,7 @@
         """Serve the target that sent ``heartbeat``, None if there is none.
 
         Later requests get a new queue and new measurements, unless the incarnation of
-        ``heartbeat`` is already in service.
+        ``heartbeat`` was the last one in service.
         """
         current = self._heartbeat
         same_incarnation = (
@@ -197,8 +197,12 @@
         former = self._last_heartbeat
         if former is not None and former.incarnation == heartbeat.incarnation:
             # The target only missed heartbeats: the same incarnation sends them again,
-            # so it has not crashed and its lost connections are no sign of a crash.
+            # so it has not crashed and its lost connections are no sign of a crash. The
+            # requests that it still runs keep their slots.
             self._crash_evidence.clear()
+            self._last_heartbeat = heartbeat
+            self._admission.reopen(heartbeat.slots)
+            return
         self._record_crash(former)
         self._last_heartbeat = heartbeat
         # All slots of a new incarnation are free, and nothing measured on the former
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -394,6 +394,34 @@
     asyncio.run(main())
 
 
+def test_missed_heartbeats_free_no_slots() -> None:
+    """Guards against more requests at a target than it has slots.
+
+    A target that is silent for a while runs on, and so do its requests.
+    """
+
+    async def main() -> None:
+        pool = FakeTargetPool(seconds=0.2)
+        dispatcher = dispatcher_for(pool)
+        running = [
+            asyncio.create_task(dispatcher.execute(replace(SAFE, max_wait=0)))
+            for _ in range(HEARTBEAT.slots)
+        ]
+        await asyncio.sleep(0.05)
+        dispatcher.set_target(None)
+        refused = await dispatcher.execute(SAFE)
+        assert refused.reason is HostReason.NO_TARGET
+        dispatcher.set_target(replace(HEARTBEAT, sequence=9))
+        reply = await dispatcher.execute(replace(SAFE, max_wait=0))
+        assert reply.reason is HostReason.BUSY
+        assert len(pool.requests) == HEARTBEAT.slots
+        for each in running:
+            assert (await each).outcome is HostOutcome.ANSWERED
+        assert (await dispatcher.execute(SAFE)).outcome is HostOutcome.ANSWERED
+
+    asyncio.run(main())
+
+
 def test_request_that_crashed_three_targets_is_refused() -> None:
     """Guards against a request that crashes one target after the other."""
 
