Do not judge a target silent while its daemon did not run

Cause: a daemon that was suspended for four heartbeats took its target out of service on its return, before it read the heartbeats that were waiting. The requests in its queue were refused as "no target".

Change: time in which the daemon itself did not run does not count.

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -277,13 +277,22 @@
         self.pool.close()
 
     async def get(
-        self, path: str, *, attempt: str = "a", method: str = "GET", timeout: float = 5
+        self,
+        path: str,
+        *,
+        attempt: str = "a",
+        method: str = "GET",
+        timeout: float = 5,
+        deadline: float = 4,
     ) -> HttpResponse | ExchangeFailed:
-        """Send a request as a client on this VM."""
+        """Send a request as a client on this VM; times are in seconds.
+
+        ``deadline`` is the one named in the request.
+        """
         headers = (
             (b"host", b"h"),
             (b"x-cassiasail-attempt-id", attempt.encode()),
-            (b"x-cassiasail-deadline-ms", b"4000"),
+            (b"x-cassiasail-deadline-ms", b"%d" % int(deadline * 1000)),
         )
         request = HttpRequest(
             method=method.encode(), target=path.encode(), headers=headers
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -157,9 +157,15 @@
     async def monitor_heartbeats(self) -> None:
         """Take targets that missed heartbeats out of service; run until cancelled."""
         interval = self._settings.heartbeat_interval_seconds
+        checked_at = self._loop.time()
         while True:
             await asyncio.sleep(interval)
-            elapsed = self._loop.time() - self._last_heartbeat_at
+            now = self._loop.time()
+            # While this process did not run, it read no heartbeats. They are waiting.
+            paused = now - checked_at - interval
+            checked_at = now
+            self._last_heartbeat_at = min(now, self._last_heartbeat_at + paused)
+            elapsed = now - self._last_heartbeat_at
             current = self._registration.current
             if current is None or current.leaving:
                 continue
--- a/tests/lib/sidecar_mesh.py
+++ b/tests/lib/sidecar_mesh.py
@@ -40,18 +40,22 @@
     directory: Path,
     sidecars: Callable[[PlatformStore], Sequence[Sidecar]],
     *,
+    links: Sequence[LoopbackProxy] = (),
     routes: dict[str, Any] | None = None,
     ready_targets: int | None = None,
 ) -> AsyncIterator[tuple[PlatformStore, list[Sidecar]]]:
     """Run the processes of ``sidecars`` with their targets; yield when all are ready.
 
-    ``ready_targets`` is the number of targets that each daemon has to know by then, by
-    default that of the sidecars.
+    ``links`` are proxies to run; ``sidecars`` may still add some. ``ready_targets`` is
+    the number of targets that each daemon has to know by then, by default that of the
+    sidecars.
     """
     store = PlatformStore()
     store.put("op", "config", configuration(1, routes or ROUTES))
     await store.start()
     started = list(sidecars(store))
+    for link in links:
+        await link.start()
     try:
         for sidecar in started:
             await sidecar.start_target()
@@ -62,6 +66,7 @@
         yield store, started
     finally:
         await asyncio.gather(*(each.stop() for each in started))
+        await asyncio.gather(*(each.stop() for each in links))
         await store.stop()
 
 
