--- a/devtools/soak/proxy.py
+++ b/devtools/soak/proxy.py
@@ -20,10 +20,15 @@
     DROPS_TO_SERVER = "drops_to_server"
     DROPS_TO_CLIENT = "drops_to_client"
     DROPS_ALL = "drops_all"
+    # As DROPS_ALL; the end of a connection is not passed on either.
+    SILENT = "silent"
 
 
-_MODES_DROPPING_TO_SERVER = (LinkMode.DROPS_TO_SERVER, LinkMode.DROPS_ALL)
-_MODES_DROPPING_TO_CLIENT = (LinkMode.DROPS_TO_CLIENT, LinkMode.DROPS_ALL)
+_DROPPING_ALL = (LinkMode.DROPS_ALL, LinkMode.SILENT)
+_MODES_DROPPING_TO_SERVER = (LinkMode.DROPS_TO_SERVER, *_DROPPING_ALL)
+_MODES_DROPPING_TO_CLIENT = (LinkMode.DROPS_TO_CLIENT, *_DROPPING_ALL)
+# How often it is checked whether a link is still silent.
+SILENT_POLL_SECONDS = 0.01
 
 
 class LoopbackProxy:
@@ -75,6 +80,7 @@
         except OSError:
             pass  # One side closed its connection; the other one is aborted below.
         finally:
+            await self._wait_while_silent()
             for each in (writer, upstream[1]):
                 each.transport.abort()
                 self._writers.discard(each)
@@ -94,5 +100,10 @@
             if writer not in self._broken:
                 writer.write(data)
                 await writer.drain()
+        await self._wait_while_silent()
         if writer not in self._broken and writer.can_write_eof():
             writer.write_eof()
+
+    async def _wait_while_silent(self) -> None:
+        while self._mode is LinkMode.SILENT:
+            await asyncio.sleep(SILENT_POLL_SECONDS)
