Run copies of an order that come by two connections once

Cause: attempt ids were compared only by the daemon beside the target.

A request that did not run is served anew.

Result: the test with real processes failed before (one order at vm-2 and vm-1) and passes.

--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -27,6 +27,7 @@
 from ...state.mesh_config import MeshConfig, MeshRoute, RetrySafety, SplitState
 from .balancing import Choice, Fleet, HostView
 from .budget import RetryBudget
+from .copies import RequestCopies
 from .crashes import CrashHistory
 
 # Maximum number of attempts for one request. Those that a host daemon refuses count as
@@ -164,6 +165,9 @@
         self._events = events
         self._random = random
         self._split = SplitState()
+        self._copies = RequestCopies[FinalResponse](
+            unknown=OutcomeUnknown(reason=HostReason.PEER_LOST), body_bytes=_body_bytes
+        )
         self._loop = asyncio.get_running_loop()
 
     async def serve(self, request: ClientRequest) -> FinalResponse:
@@ -182,6 +186,16 @@
                 version=config.version,
             )
             return NoRoute()
+        if route.retry_safety is RetrySafety.SAFE or not request.attempt_id:
+            return await self._serve_route(request, route, config)
+        return await self._copies.serve(
+            (request.attempt_id, request.method, request.host, request.request_target),
+            lambda: self._serve_route(request, route, config),
+        )
+
+    async def _serve_route(
+        self, request: ClientRequest, route: MeshRoute, config: MeshConfig
+    ) -> FinalResponse:
         state = self._create_state(request, route, config)
         response = await self._forward_until_final(request, state)
         self._record_end(request, state, config, response)
@@ -441,6 +455,13 @@
         )
 
 
+def _body_bytes(response: FinalResponse) -> int | None:
+    """Return the size of the body, None for a request that was not executed."""
+    if isinstance(response, NoRoute | NotRun):
+        return None
+    return len(response.body) if isinstance(response, TargetResponse) else 0
+
+
 def _log_result(reply: HostReply) -> str:
     """Return the result of an attempt for the log: an HTTP status or a reason."""
     if reply.response is not None and reply.outcome is HostOutcome.ANSWERED:
--- a/tests/functional/sidecar/test_handovers.py
+++ b/tests/functional/sidecar/test_handovers.py
@@ -47,6 +47,12 @@
             order_id = f"o-{each}"
             self._task_by_id[order_id] = asyncio.create_task(self._send(order_id))
 
+    def copy(self) -> "Orders":
+        """Send all orders once more and return the copies."""
+        copies = Orders(self._entry, self._held)
+        copies.send(len(self._task_by_id))
+        return copies
+
     async def _send(self, order_id: str) -> int:
         result = await self._entry.get(
             f"/orders/{order_id}",
@@ -233,3 +239,23 @@
             assert statuses[-1] == 200
 
     run(main)
+
+
+def test_copies_of_an_order_by_two_connections_run_once(tmp_path: Path) -> None:
+    """Guards against an order that two targets run because its client sent it again.
+
+    The copies come on two connections to one daemon while the first runs, and once more
+    behind the answer. With four orders each target would run some.
+    """
+
+    async def main() -> None:
+        async with order_mesh(tmp_path, 2) as (_, _, held, orders):
+            orders.send(ORDERS)
+            copies = orders.copy()
+            await orders.wait_for_runs(ORDERS)
+            await asyncio.sleep(0.2)
+            held.release.set()
+            for each in (orders, copies, orders.copy()):
+                assert set((await each.statuses()).values()) == {200}
+
+    run(main)
