Bound the memory of results kept for second copies

Cause: the daemon beside a target keeps the results of unsafe requests for 10 s, without a limit of their size. Twenty whole answers of 12 MB in a row took 301 MB; a VM has 200.

A copy of a request whose result was dropped is not executed, and its outcome is unknown.

--- a/src/cassiasail/_internal/coordination/mesh/copies.py
+++ b/src/cassiasail/_internal/coordination/mesh/copies.py
@@ -10,31 +10,28 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
-Response = TypeVar("Response")
+from ...state.kept_results import KEEP_RESULT_SECONDS, KeptResults
 
-# A copy that comes later than this after the end of the first is a new request. It is
-# the time for which host daemons keep results, which is above most deadlines.
-KEEP_SECONDS = 10.0
-# Responses kept for copies, in bytes of their bodies. Those that do not fit are not
-# kept, and the copies of their requests get the response for an unknown outcome.
-MAX_KEPT_BYTES = 4 << 20
+Response = TypeVar("Response")
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Shared(Generic[Response]):
-    """One request, how many copies wait for it, and its response once it ended."""
+    """One request, how many copies wait for it, and its response once it ended.
+
+    ``task`` is None from then on, as it would keep a response that is to be dropped.
+    """
 
-    task: "asyncio.Task[Response]"
+    task: "asyncio.Task[Response] | None"
     waiters: int = 0
     response: Response | None = None
-    kept_bytes: int = 0
 
 
 class RequestCopies(Generic[Response]):
     """Serves each key once; further copies get the response of the first.
 
     ``unknown`` is the response to a copy whose first one has an unknown outcome or a
-    response that was not kept. ``body_bytes`` returns the size of a response, None if
+    response that was dropped. ``body_bytes`` returns the size of a response, None if
     the request was not executed, after which a copy is served anew.
     """
 
@@ -44,7 +41,7 @@
         self._unknown = unknown
         self._body_bytes = body_bytes
         self._shared_by_key: dict[Hashable, _Shared[Response]] = {}
-        self._kept_bytes = 0
+        self._kept = KeptResults(drop=self._drop_response)
         self._loop = asyncio.get_running_loop()
 
     async def serve(
@@ -54,38 +51,51 @@
 
         It is cancelled once no copy waits for it any more.
         """
-        shared = self._shared_by_key.get(key)
-        if shared is None:
-            shared = _Shared(task=self._loop.create_task(serve()))
-            self._shared_by_key[key] = shared
-            shared.task.add_done_callback(lambda _: self._end(key, shared))
-        elif shared.response is not None:
-            return shared.response
+        shared = self._shared_by_key.get(key) or self._start(key, serve())
+        task = shared.task
+        if task is None:
+            return self._unknown if shared.response is None else shared.response
         shared.waiters += 1
         try:
-            return await asyncio.shield(shared.task)
+            return await asyncio.shield(task)
         except asyncio.CancelledError:
-            if shared.task.cancelled():
+            if task.cancelled():
                 return self._unknown
             raise
         finally:
             shared.waiters -= 1
-            if not shared.waiters and not shared.task.done():
-                shared.task.cancel()
+            if not shared.waiters and not task.done():
+                task.cancel()
 
-    def _end(self, key: Hashable, shared: _Shared[Response]) -> None:
+    def _start(
+        self, key: Hashable, serving: Coroutine[Any, Any, Response]
+    ) -> _Shared[Response]:
+        task = self._loop.create_task(serving)
+        shared = self._shared_by_key[key] = _Shared(task=task)
+        task.add_done_callback(lambda _: self._end(key, shared, task))
+        return shared
+
+    def _end(
+        self,
+        key: Hashable,
+        shared: _Shared[Response],
+        task: "asyncio.Task[Response]",
+    ) -> None:
         """Keep the response for later copies, or forget a request not executed."""
-        shared.response = self._unknown
-        if not shared.task.cancelled() and shared.task.exception() is None:
-            response = shared.task.result()
-            size = self._body_bytes(response)
-            if size is None:
-                del self._shared_by_key[key]
-                return
-            if self._kept_bytes + size <= MAX_KEPT_BYTES:
-                shared.response, shared.kept_bytes = response, size
-                self._kept_bytes += size
-        self._loop.call_later(KEEP_SECONDS, self._drop, key)
+        shared.task = None
+        size: int | None = 0
+        if not task.cancelled() and task.exception() is None:
+            shared.response = task.result()
+            size = self._body_bytes(shared.response)
+        if size is None:
+            del self._shared_by_key[key]
+            return
+        self._kept.keep(key, size)
+        self._loop.call_later(KEEP_RESULT_SECONDS, self._drop, key)
+
+    def _drop_response(self, key: Hashable) -> None:
+        self._shared_by_key[key].response = None
 
     def _drop(self, key: Hashable) -> None:
-        self._kept_bytes -= self._shared_by_key.pop(key).kept_bytes
+        self._kept.release(key)
+        del self._shared_by_key[key]
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, replace
 
 from ... import metrics
@@ -34,6 +34,7 @@
     TargetResponse,
 )
 from ...state.hosts import TargetCrash
+from ...state.kept_results import KEEP_RESULT_SECONDS, KeptResults
 from .admission import Admission, RunningMean
 from .crashes import CrashEvidence, CrashHistory
 from .registration import TargetHeartbeat
@@ -41,8 +42,6 @@
 # A target responds by itself when the deadline passes; the host daemon closes the
 # connection this much later.
 RESPONSE_MARGIN_SECONDS = 0.1
-# How long results of unsafe requests are kept, as the entry daemon may still retry.
-KEEP_RESULT_SECONDS = 10.0
 # A second copy of an unsafe request is accepted only by a daemon that was running this
 # much longer than the time since the first copy, which may take as long to arrive.
 RESENT_TRANSIT_SECONDS = 2.0
@@ -128,7 +127,8 @@
 class _UnsafeExecution:
     """Execution of one unsafe request, shared by all copies of it.
 
-    ``waiters`` is the number of copies that wait for the result.
+    ``waiters`` is the number of copies that wait for the result. ``task`` is None once
+    the result was dropped.
     """
 
     task: "asyncio.Task[HostReply] | None" = None
@@ -166,7 +166,8 @@
         self._admission = Admission(slots=1)
         self._failure_share = FailureShare()
         self._service_time_by_route: dict[str, RunningMean] = {}
-        self._execution_by_attempt_id: dict[str, _UnsafeExecution] = {}
+        self._execution_by_attempt_id: dict[Hashable, _UnsafeExecution] = {}
+        self._kept_results = KeptResults(drop=self._drop_result)
         # Requests at the target now, and those of them that are retries.
         self._dispatched = 0
         self._dispatched_retries = 0
@@ -252,17 +253,11 @@
         """Execute an unsafe request, or wait for the result of its first copy."""
         attempt_id = hosted.request.attempt_id
         execution = self._execution_by_attempt_id.get(attempt_id)
-        if execution is None and self._may_have_forgotten(hosted):
+        if self._may_have_forgotten(hosted, execution):
             self._events.write("resent_request_unknown", attempt=attempt_id)
             return HostReply(outcome=HostOutcome.FAILED, reason=HostReason.PEER_LOST)
         if execution is None:
-            # The task needs ``execution`` before it starts, to mark the dispatch in it.
-            execution = _UnsafeExecution()
-            execution.task = self._loop.create_task(self._execute(hosted, execution))
-            self._execution_by_attempt_id[attempt_id] = execution
-            execution.task.add_done_callback(
-                lambda _: self._drop_result_later(attempt_id)
-            )
+            execution = self._start_execution(hosted)
         task = execution.task
         assert task is not None
         execution.waiters += 1
@@ -279,11 +274,26 @@
                     RECONNECT_SECONDS, self._cancel_if_abandoned, execution, task
                 )
 
-    def _may_have_forgotten(self, hosted: HostedRequest) -> bool:
-        """Return whether the first copy of a request may have run without a trace.
+    def _start_execution(self, hosted: HostedRequest) -> _UnsafeExecution:
+        attempt_id = hosted.request.attempt_id
+        # The task needs ``execution`` before it starts, to mark the dispatch in it.
+        execution = _UnsafeExecution()
+        execution.task = self._loop.create_task(self._execute(hosted, execution))
+        self._execution_by_attempt_id[attempt_id] = execution
+        execution.task.add_done_callback(
+            lambda _: self._keep_result(attempt_id, execution)
+        )
+        return execution
+
+    def _may_have_forgotten(
+        self, hosted: HostedRequest, execution: _UnsafeExecution | None
+    ) -> bool:
+        """Return whether the first copy of a request may have run without a result.
 
         This daemon may have started after it, or have dropped its result.
         """
+        if execution is not None:
+            return execution.task is None
         if hosted.resent_after is None:
             return False
         first_copy_age = hosted.resent_after + RESENT_TRANSIT_SECONDS
@@ -298,10 +308,22 @@
         if not execution.waiters and not execution.dispatched:
             task.cancel()
 
-    def _drop_result_later(self, attempt_id: str) -> None:
-        self._loop.call_later(
-            KEEP_RESULT_SECONDS, self._execution_by_attempt_id.pop, attempt_id, None
-        )
+    def _keep_result(self, attempt_id: str, execution: _UnsafeExecution) -> None:
+        """Keep the result of an execution for a while, or only that there was one."""
+        task, size = execution.task, 0
+        assert task is not None
+        if not task.cancelled() and task.exception() is None:
+            response = task.result().response
+            size = len(response.body) if response is not None else 0
+        self._kept_results.keep(attempt_id, size)
+        self._loop.call_later(KEEP_RESULT_SECONDS, self._drop_execution, attempt_id)
+
+    def _drop_result(self, attempt_id: Hashable) -> None:
+        self._execution_by_attempt_id[attempt_id].task = None
+
+    def _drop_execution(self, attempt_id: str) -> None:
+        self._kept_results.release(attempt_id)
+        del self._execution_by_attempt_id[attempt_id]
 
     async def _execute(
         self, hosted: HostedRequest, execution: _UnsafeExecution | None
--- a/tests/functional/sidecar/test_endless_answers.py
+++ b/tests/functional/sidecar/test_endless_answers.py
@@ -6,8 +6,9 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from cassiasail._internal.protocol.http1 import HttpResponse
 from devtools.platform_stand_in import PlatformStore, Sidecar
-from tests.lib.endless import ENDLESS_BODIES, ENDLESS_HEADS
+from tests.lib.endless import ENDLESS_BODIES, ENDLESS_HEADS, OK_HEAD
 from tests.lib.sidecar_mesh import (
     RawPeer,
     RawRequest,
@@ -25,6 +26,8 @@
 # Memory that one answer without end may take in a head, and of the smallest VM.
 HEAD_KB = 1 << 10
 VM_KB = 200 << 10
+# Below the limit of one answer, 16 MB.
+LARGE_ANSWER_BYTES = 12 << 20
 # The daemon closes the connection when it stops reading, which leaves this long for the
 # close to be seen on a busy machine.
 CLOSE_SECONDS = 2.0
@@ -170,3 +173,33 @@
                 await peer.server.stop()
 
     run(main)
+
+
+def test_large_answers_to_orders_are_not_all_kept(tmp_path: Path) -> None:
+    """Guards against a daemon that ends by the results it keeps for second copies.
+
+    Each answer is whole and below the limit of one; a daemon keeps results for 10 s.
+    """
+    filler = b"x" * LARGE_ANSWER_BYTES
+
+    async def handle(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        head = f"{OK_HEAD.decode()}x-cassiasail-attempt-id: {request.attempt_id}\r\n"
+        writer.write(f"{head}content-length: {len(filler)}\r\n\r\n".encode() + filler)
+        await writer.drain()
+
+    def sidecars(store: PlatformStore) -> list[Sidecar]:
+        one = RawTargetSidecar(store=store, name="vm-1", service="one", handle=handle)
+        return [one, Sidecar(store=store, name="vm-2", service="two")]
+
+    async def main() -> None:
+        async with sidecar_mesh(tmp_path, sidecars) as (_, vms):
+            for number in range(ENDLESS):
+                result = await vms[1].get(
+                    "/orders/large", attempt=f"large-{number}", method="POST"
+                )
+                assert isinstance(result, HttpResponse)
+                assert (result.status, len(result.body)) == (200, LARGE_ANSWER_BYTES)
+            for vm in vms:
+                assert memory_kb(vm, "VmHWM") < VM_KB
+
+    run(main)
