--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -86,6 +86,11 @@
             "ver": self.version,
         }
 
+    def value(self, table: str, key: str) -> bytes:
+        """Return the value of a row, empty if there is none."""
+        row = self.row_by_id.get((table, key))
+        return b"" if row is None else base64.b64decode(row["value"])
+
     def drop_history(self) -> None:
         """Drop the feed history, so that readers must read the tables again."""
         self._history_start = self.version
@@ -201,7 +206,7 @@
         await self._runner.setup()
         port = self.address_by_use["target"].port
         await web.TCPSite(self._runner, HOST, port).start()
-        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+        self.start_heartbeats()
 
     def write_settings(self, directory: Path) -> Path:
         """Write the settings file as the platform does and return its path."""
@@ -229,6 +234,10 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def start_heartbeats(self) -> None:
+        """Start the periodic heartbeats of the target."""
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+
     def stop_heartbeats(self) -> None:
         """Stop the periodic heartbeats of the target."""
         if self._heartbeat_task is not None:
@@ -251,13 +260,22 @@
         self.pool.close()
 
     async def get(
-        self, path: str, *, attempt: str = "a", method: str = "GET", timeout: float = 5
+        self,
+        path: str,
+        *,
+        attempt: str = "a",
+        method: str = "GET",
+        timeout: float = 5,
+        deadline: float = 4,
     ) -> HttpResponse | ExchangeFailed:
-        """Send a request as a client on this VM."""
+        """Send a request as a client on this VM; times are in seconds.
+
+        ``deadline`` is the one named in the request.
+        """
         headers = (
             (b"host", b"h"),
             (b"x-cassiasail-attempt-id", attempt.encode()),
-            (b"x-cassiasail-deadline-ms", b"4000"),
+            (b"x-cassiasail-deadline-ms", b"%d" % int(deadline * 1000)),
         )
         request = HttpRequest(
             method=method.encode(), target=path.encode(), headers=headers
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, replace
 
 from ... import metrics
@@ -19,6 +19,8 @@
     ExchangeFailed,
     Exchanger,
     FailureReason,
+    ResponseMatch,
+    match_attempt,
     parse_address,
 )
 from ...protocol.http1 import HttpRequest, HttpResponse
@@ -32,6 +34,7 @@
     TargetResponse,
 )
 from ...state.hosts import TargetCrash
+from ...state.kept_results import KEEP_RESULT_SECONDS, KeptResults
 from .admission import Admission, RunningMean
 from .crashes import CrashEvidence, CrashHistory
 from .registration import TargetHeartbeat
@@ -39,8 +42,6 @@
 # A target responds by itself when the deadline passes; the host daemon closes the
 # connection this much later.
 RESPONSE_MARGIN_SECONDS = 0.1
-# How long results of unsafe requests are kept, as the entry daemon may still retry.
-KEEP_RESULT_SECONDS = 10.0
 # A second copy of an unsafe request is accepted only by a daemon that was running this
 # much longer than the time since the first copy, which may take as long to arrive.
 RESENT_TRANSIT_SECONDS = 2.0
@@ -126,7 +127,8 @@
 class _UnsafeExecution:
     """Execution of one unsafe request, shared by all copies of it.
 
-    ``waiters`` is the number of copies that wait for the result.
+    ``waiters`` is the number of copies that wait for the result. ``task`` is None once
+    the result was dropped.
     """
 
     task: "asyncio.Task[HostReply] | None" = None
@@ -164,7 +166,8 @@
         self._admission = Admission(slots=1)
         self._failure_share = FailureShare()
         self._service_time_by_route: dict[str, RunningMean] = {}
-        self._execution_by_attempt_id: dict[str, _UnsafeExecution] = {}
+        self._execution_by_attempt_id: dict[Hashable, _UnsafeExecution] = {}
+        self._kept_results = KeptResults(drop=self._drop_result)
         # Requests at the target now, and those of them that are retries.
         self._dispatched = 0
         self._dispatched_retries = 0
@@ -174,7 +177,7 @@
         """Serve the target that sent ``heartbeat``, None if there is none.
 
         Later requests get a new queue and new measurements, unless the incarnation of
-        ``heartbeat`` is already in service.
+        ``heartbeat`` was the last one in service.
         """
         current = self._heartbeat
         same_incarnation = (
@@ -195,8 +198,12 @@
         former = self._last_heartbeat
         if former is not None and former.incarnation == heartbeat.incarnation:
             # The target only missed heartbeats: the same incarnation sends them again,
-            # so it has not crashed and its lost connections are no sign of a crash.
+            # so it has not crashed and its lost connections are no sign of a crash. The
+            # requests that it still runs keep their slots.
             self._crash_evidence.clear()
+            self._last_heartbeat = heartbeat
+            self._admission.reopen(heartbeat.slots)
+            return
         self._record_crash(former)
         self._last_heartbeat = heartbeat
         # All slots of a new incarnation are free, and nothing measured on the former
@@ -246,17 +253,11 @@
         """Execute an unsafe request, or wait for the result of its first copy."""
         attempt_id = hosted.request.attempt_id
         execution = self._execution_by_attempt_id.get(attempt_id)
-        if execution is None and self._may_have_forgotten(hosted):
+        if self._may_have_forgotten(hosted, execution):
             self._events.write("resent_request_unknown", attempt=attempt_id)
             return HostReply(outcome=HostOutcome.FAILED, reason=HostReason.PEER_LOST)
         if execution is None:
-            # The task needs ``execution`` before it starts, to mark the dispatch in it.
-            execution = _UnsafeExecution()
-            execution.task = self._loop.create_task(self._execute(hosted, execution))
-            self._execution_by_attempt_id[attempt_id] = execution
-            execution.task.add_done_callback(
-                lambda _: self._drop_result_later(attempt_id)
-            )
+            execution = self._start_execution(hosted)
         task = execution.task
         assert task is not None
         execution.waiters += 1
@@ -273,11 +274,26 @@
                     RECONNECT_SECONDS, self._cancel_if_abandoned, execution, task
                 )
 
-    def _may_have_forgotten(self, hosted: HostedRequest) -> bool:
-        """Return whether the first copy of a request may have run without a trace.
+    def _start_execution(self, hosted: HostedRequest) -> _UnsafeExecution:
+        attempt_id = hosted.request.attempt_id
+        # The task needs ``execution`` before it starts, to mark the dispatch in it.
+        execution = _UnsafeExecution()
+        execution.task = self._loop.create_task(self._execute(hosted, execution))
+        self._execution_by_attempt_id[attempt_id] = execution
+        execution.task.add_done_callback(
+            lambda _: self._keep_result(attempt_id, execution)
+        )
+        return execution
+
+    def _may_have_forgotten(
+        self, hosted: HostedRequest, execution: _UnsafeExecution | None
+    ) -> bool:
+        """Return whether the first copy of a request may have run without a result.
 
         This daemon may have started after it, or have dropped its result.
         """
+        if execution is not None:
+            return execution.task is None
         if hosted.resent_after is None:
             return False
         first_copy_age = hosted.resent_after + RESENT_TRANSIT_SECONDS
@@ -292,10 +308,22 @@
         if not execution.waiters and not execution.dispatched:
             task.cancel()
 
-    def _drop_result_later(self, attempt_id: str) -> None:
-        self._loop.call_later(
-            KEEP_RESULT_SECONDS, self._execution_by_attempt_id.pop, attempt_id, None
-        )
+    def _keep_result(self, attempt_id: str, execution: _UnsafeExecution) -> None:
+        """Keep the result of an execution for a while, or only that there was one."""
+        task, size = execution.task, 0
+        assert task is not None
+        if not task.cancelled() and task.exception() is None:
+            response = task.result().response
+            size = len(response.body) if response is not None else 0
+        self._kept_results.keep(attempt_id, size)
+        self._loop.call_later(KEEP_RESULT_SECONDS, self._drop_execution, attempt_id)
+
+    def _drop_result(self, attempt_id: Hashable) -> None:
+        self._execution_by_attempt_id[attempt_id].task = None
+
+    def _drop_execution(self, attempt_id: str) -> None:
+        self._kept_results.release(attempt_id)
+        del self._execution_by_attempt_id[attempt_id]
 
     async def _execute(
         self, hosted: HostedRequest, execution: _UnsafeExecution | None
@@ -358,18 +386,16 @@
         request = hosted.request
         dispatched_at = self._loop.time()
 
-        def belongs_to_request(response: HttpResponse) -> bool:
+        def match(response: HttpResponse) -> ResponseMatch:
             echoed = self._codec.attempt_id_of(response)
-            return (
-                echoed is None or not request.attempt_id or echoed == request.attempt_id
-            )
+            return match_attempt(echoed, request.attempt_id)
 
         try:
             result = await self._pool.exchange(
                 address,
                 self._codec.encode(request, heartbeat.target, remaining_time),
                 timeout=remaining_time + RESPONSE_MARGIN_SECONDS,
-                accept=belongs_to_request,
+                match=match,
                 max_idle=None if hosted.safe else UNSAFE_MAX_IDLE_SECONDS,
             )
         except asyncio.CancelledError:
--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -4,7 +4,15 @@
 
 from ...clock import Clock
 from ...protocol import peer_calls
-from ...protocol.exchanges import Address, ExchangeFailed, Exchanger, FailureReason
+from ...protocol.exchanges import (
+    Address,
+    ExchangeFailed,
+    Exchanger,
+    FailureReason,
+    ResponseMatch,
+    match_attempt,
+)
+from ...protocol.http1 import HttpResponse
 from ...state.calls import HostedRequest, HostOutcome, HostReason, HostReply
 
 # Added to the remaining time of the request: the host daemon times requests out itself,
@@ -15,7 +23,13 @@
 # Failures after which an unsafe request may be sent a second time: the host daemon
 # recognizes its attempt id and replies to the second copy with the result of the first.
 _CONNECTION_LOST_REASONS = frozenset(
-    (FailureReason.RESET, FailureReason.CUT_SHORT, FailureReason.MALFORMED)
+    (
+        FailureReason.RESET,
+        FailureReason.CUT_SHORT,
+        FailureReason.MALFORMED,
+        # The reply never ended, or was dropped because other bodies needed its memory.
+        FailureReason.TOO_LARGE,
+    )
 )
 
 
@@ -43,18 +57,25 @@
     if copy.remaining_time <= 0:
         return reply
     second = await _forward_once(pool, address, copy)
-    # The first copy may have been executed, so its reply is returned if the second copy
-    # could not be sent.
-    return reply if second.reason is HostReason.PEER_UNREACHABLE else second
+    if second.outcome is HostOutcome.REFUSED and second.load is None:
+        # The host daemon did not read the second copy: each reply to a request that it
+        # read has a load report. It may have executed the first copy.
+        return reply
+    return second
 
 
 async def _forward_once(
     pool: Exchanger, address: Address, hosted: HostedRequest
 ) -> HostReply:
+    def match(response: HttpResponse) -> ResponseMatch:
+        echoed = peer_calls.attempt_id_of(response)
+        return match_attempt(echoed, hosted.request.attempt_id)
+
     result = await pool.exchange(
         address,
         peer_calls.encode_request(hosted),
         timeout=hosted.remaining_time + REPLY_MARGIN_SECONDS,
+        match=match,
     )
     if isinstance(result, ExchangeFailed):
         return _reply_of_failure(result)
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -5,7 +5,7 @@
 import sys
 from collections.abc import Callable
 
-from ...platform import health, heartbeats
+from ...platform import health, heartbeats, requests
 from ...platform.settings import SidecarSettings
 from ..background import BackgroundTasks
 from ..coordination.mesh.balancing import Fleet
@@ -17,7 +17,12 @@
     TargetRegistration,
 )
 from ..events import EventLog
-from ..protocol.exchanges import ExchangeFailed, Exchanger
+from ..protocol.exchanges import (
+    ExchangeFailed,
+    Exchanger,
+    ResponseMatch,
+    match_attempt,
+)
 from ..protocol.http1 import HttpRequest, HttpResponse
 from ..state.hosts import (
     HostRecord,
@@ -60,7 +65,7 @@
         self,
         *,
         settings: SidecarSettings,
-        config: Callable[[], MeshConfig | None],
+        config_once_loaded: Callable[[], MeshConfig | None],
         dispatcher: TargetDispatcher,
         fleet: Fleet,
         publisher: RecordPublisher,
@@ -68,7 +73,7 @@
         events: EventLog,
     ) -> None:
         self._settings = settings
-        self._config = config
+        self._config_once_loaded = config_once_loaded
         self._dispatcher = dispatcher
         self._fleet = fleet
         self._publisher = publisher
@@ -152,9 +157,15 @@
     async def monitor_heartbeats(self) -> None:
         """Take targets that missed heartbeats out of service; run until cancelled."""
         interval = self._settings.heartbeat_interval_seconds
+        checked_at = self._loop.time()
         while True:
             await asyncio.sleep(interval)
-            elapsed = self._loop.time() - self._last_heartbeat_at
+            now = self._loop.time()
+            # While this process did not run, it read no heartbeats. They are waiting.
+            paused = now - checked_at - interval
+            checked_at = now
+            self._last_heartbeat_at = min(now, self._last_heartbeat_at + paused)
+            elapsed = now - self._last_heartbeat_at
             current = self._registration.current
             if current is None or current.leaving:
                 continue
@@ -183,6 +194,7 @@
             self._settings.target_address,
             health.encode_health_check(service.health_path, heartbeat.address),
             timeout=HEALTH_CHECK_TIMEOUT_SECONDS,
+            match=_match_health_check,
         )
         if isinstance(result, ExchangeFailed):
             outcome = result.reason.value
@@ -196,11 +208,13 @@
     async def _wait_for_service(self, heartbeat: TargetHeartbeat) -> MeshService | None:
         """Wait for a configuration and return the service of ``heartbeat`` in it.
 
-        Returns None if the service is not configured or no configuration arrives.
+        Also waits for the record that this daemon stored before a restart, because a
+        target may pass its health check while it is leaving. Returns None if the
+        service is not configured or no configuration arrives.
         """
         deadline = self._loop.time() + OLD_HEARTBEATS_SECONDS
         while self._loop.time() < deadline:
-            config = self._config()
+            config = self._config_once_loaded()
             if config is not None:
                 return config.service_by_name.get(heartbeat.service)
             await asyncio.sleep(CONFIG_POLL_INTERVAL_SECONDS)
@@ -246,3 +260,8 @@
         # Newer than every stored version: only this daemon writes the record.
         self._fleet.update(record, sys.maxsize)
         self._publisher.set_wanted(encode_record(record))
+
+
+def _match_health_check(response: HttpResponse) -> ResponseMatch:
+    """Return whether ``response`` may belong to a health check, which has no id."""
+    return match_attempt(requests.TARGET_CODEC.attempt_id_of(response), "")
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -28,7 +28,7 @@
 from ..protocol.http1 import HttpRequest, HttpResponse
 from ..state.calls import HostedRequest, HostReason, HostReply
 from ..state.hosts import TargetState
-from ..state.mesh_config import ClientLimits
+from ..state.mesh_config import ClientLimits, MeshConfig
 from ..transport.http1.memory import (
     MAX_REQUEST_BODIES_BYTES,
     MAX_RESPONSE_BODIES_BYTES,
@@ -181,7 +181,7 @@
         )
         self._own_target = OwnTarget(
             settings=settings,
-            config=lambda: self._store_view.config,
+            config_once_loaded=self._config_once_loaded,
             dispatcher=self._dispatcher,
             fleet=self._fleet,
             publisher=self._publisher,
@@ -351,6 +351,10 @@
     def _in_flight(self) -> int:
         return self._clients_server.in_flight + self._peers_server.in_flight
 
+    def _config_once_loaded(self) -> MeshConfig | None:
+        """Return the configuration, None until the table of VMs was read as well."""
+        return self._store_view.config if self._store_view.loaded else None
+
     def _client_limits(self) -> ClientLimits:
         config = self._store_view.config
         return DEFAULT_LIMITS if config is None else config.limits
@@ -384,7 +388,8 @@
         hosted = peer_calls.decode_request(request)
         if hosted is None:
             return HttpResponse(status=400)
-        return peer_calls.encode_reply(await self._dispatcher.execute(hosted))
+        reply = await self._dispatcher.execute(hosted)
+        return peer_calls.encode_reply(reply, attempt_id=hosted.request.attempt_id)
 
     async def _forward(self, host_view: HostView, hosted: HostedRequest) -> HostReply:
         """Dispatch ``hosted`` to this VM's target or forward it to its host daemon."""
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -11,10 +11,7 @@
     CrashHistory,
     request_fingerprint,
 )
-from cassiasail._internal.coordination.mesh.hosting import (
-    KEEP_RESULT_SECONDS,
-    TargetDispatcher,
-)
+from cassiasail._internal.coordination.mesh.hosting import TargetDispatcher
 from cassiasail._internal.coordination.mesh.registration import TargetHeartbeat
 from cassiasail._internal.ids import ServiceName, TargetId
 from cassiasail._internal.protocol import peer_calls
@@ -22,6 +19,7 @@
     Address,
     ExchangeFailed,
     FailureReason,
+    ResponseMatch,
 )
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.calls import (
@@ -32,6 +30,10 @@
     HostReply,
 )
 from cassiasail._internal.state.hosts import TargetCrash
+from cassiasail._internal.state.kept_results import (
+    KEEP_RESULT_SECONDS,
+    MAX_KEPT_RESULT_BYTES,
+)
 from cassiasail.platform.requests import TARGET_CODEC
 from devtools.virtual_loop import VirtualLoop
 from tests.lib.clocks import VirtualClock
@@ -88,7 +90,7 @@
         request: HttpRequest,
         *,
         timeout: float,
-        accept: Callable[[HttpResponse], bool] | None = None,
+        match: Callable[[HttpResponse], ResponseMatch] | None = None,
         max_idle: float | None = None,
     ) -> HttpResponse | ExchangeFailed:
         self.requests.append(request)
@@ -198,6 +200,36 @@
         runner.run(main())
 
 
+def test_results_kept_for_second_copies_are_bounded() -> None:
+    """Guards against large answers to orders that fill the memory of a daemon.
+
+    A copy of a request whose result was not kept is not executed.
+    """
+
+    async def main() -> None:
+        body = b"x" * (MAX_KEPT_RESULT_BYTES * 3 // 4)
+        pool = FakeTargetPool(result=replace(OK, body=body))
+        dispatcher = dispatcher_for(pool)
+
+        async def execute(attempt_id: str) -> HostReply:
+            request = replace(REQUEST, attempt_id=attempt_id)
+            return await dispatcher.execute(replace(UNSAFE, request=request))
+
+        for attempt_id in "ab":
+            assert (await execute(attempt_id)).outcome is HostOutcome.ANSWERED
+        assert (await execute("b")).outcome is HostOutcome.ANSWERED
+        second = await execute("a")
+        assert second.outcome is HostOutcome.FAILED
+        assert len(pool.requests) == 2
+        await asyncio.sleep(KEEP_RESULT_SECONDS + 1)
+        for _ in range(2):
+            assert (await execute("c")).outcome is HostOutcome.ANSWERED
+        assert len(pool.requests) == 3
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(main())
+
+
 def test_dispatched_unsafe_request_is_not_cancelled() -> None:
     """Guards against an execution that stops halfway when the client disconnects."""
 
@@ -302,9 +334,13 @@
 
     async def main() -> None:
         reply = await dispatcher_for(FakeTargetPool()).execute(SAFE)
-        decoded = peer_calls.decode_reply(peer_calls.encode_reply(reply))
+        message = peer_calls.encode_reply(reply, attempt_id="id-1")
+        assert peer_calls.attempt_id_of(message) == "id-1"
+        decoded = peer_calls.decode_reply(message)
         assert decoded is not None
         assert decoded.response is not None
+        # Its client gets the headers of the target only.
+        assert decoded.response.headers == OK.headers
         assert decoded.response.body == b"done"
         assert decoded.outcome is HostOutcome.ANSWERED
 
@@ -389,6 +425,34 @@
     asyncio.run(main())
 
 
+def test_missed_heartbeats_free_no_slots() -> None:
+    """Guards against more requests at a target than it has slots.
+
+    A target that is silent for a while runs on, and so do its requests.
+    """
+
+    async def main() -> None:
+        pool = FakeTargetPool(seconds=0.2)
+        dispatcher = dispatcher_for(pool)
+        running = [
+            asyncio.create_task(dispatcher.execute(replace(SAFE, max_wait=0)))
+            for _ in range(HEARTBEAT.slots)
+        ]
+        await asyncio.sleep(0.05)
+        dispatcher.set_target(None)
+        refused = await dispatcher.execute(SAFE)
+        assert refused.reason is HostReason.NO_TARGET
+        dispatcher.set_target(replace(HEARTBEAT, sequence=9))
+        reply = await dispatcher.execute(replace(SAFE, max_wait=0))
+        assert reply.reason is HostReason.BUSY
+        assert len(pool.requests) == HEARTBEAT.slots
+        for each in running:
+            assert (await each).outcome is HostOutcome.ANSWERED
+        assert (await dispatcher.execute(SAFE)).outcome is HostOutcome.ANSWERED
+
+    asyncio.run(main())
+
+
 def test_request_that_crashed_three_targets_is_refused() -> None:
     """Guards against a request that crashes one target after the other."""
 
