Ignore the rest of a rejected request behind pending responses

Callers saw: a served request whose connection broke without an answer.

Cause: a request behind a pending one that times out or whose header is too long is rejected, but the parser got its remaining bytes. Its callbacks failed an assertion, asyncio aborted the connection, and the pending responses were lost.

Change: after the last request of a connection, received bytes are ignored.

Result: the three cases of test_rest_of_a_rejected_request_does_not_lose_earlier_responses failed on the parent (no response instead of two) and pass.

--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -213,7 +213,8 @@
         return False
 
     def data_received(self, data: bytes) -> None:
-        if self._closing:
+        # Behind the last request of the connection, bytes are ignored.
+        if self._closing or (self._exchanges and not self._exchanges[-1].keep_alive):
             return
         try:
             self._parser.feed_data(data)
