Keep connections until their clients have acknowledged the responses

Callers saw: a response that breaks off although its target had served it.

Cause: a response counted as sent once it was handed to the transport. A stopping daemon exited 2.7 s after SIGTERM, long before the end of the grace, and dropped what was unsent; the idle timeout and the lingering close ran while the client was still reading, and unread bytes then reset the connection.

Change: the stop, the idle timeout and the lingering close wait until the responses are acknowledged, the stop at most until its deadline.

--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -277,7 +277,7 @@
         await asyncio.sleep(min(ACCEPT_WHILE_STOPPING_SECONDS, deadline - started_at))
         self._refusing_clients = True
         self._clients_server.close_listener()
-        while self._in_flight() and self._loop.time() < deadline:
+        while self._busy() and self._loop.time() < deadline:
             await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
         self._log_unanswered()
         self._events.write(
@@ -348,6 +348,13 @@
                 self._events.write("background_failed", work=work.__qualname__)
             await asyncio.sleep(RESTART_DELAY_SECONDS)
 
+    def _busy(self) -> bool:
+        return bool(
+            self._in_flight()
+            or self._clients_server.sending
+            or self._peers_server.sending
+        )
+
     def _in_flight(self) -> int:
         return self._clients_server.in_flight + self._peers_server.in_flight
 
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import fcntl
 import logging
+import termios
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
@@ -119,6 +121,11 @@
         """Number of requests whose response was not written yet."""
         return sum(connection.in_flight for connection in self.connections)
 
+    @property
+    def sending(self) -> bool:
+        """Whether bytes of a response wait until the network takes them."""
+        return any(connection.sending for connection in self.connections)
+
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the requests whose response was not written yet."""
         for connection in tuple(self.connections):
@@ -175,6 +182,20 @@
         """Number of complete requests whose response was not written yet."""
         return len(self._exchanges)
 
+    @property
+    def sending(self) -> bool:
+        """Whether the client has not yet acknowledged all bytes of its responses."""
+        transport = self._transport
+        if transport is None:
+            return False
+        if transport.get_write_buffer_size():
+            return True
+        connection = transport.get_extra_info("socket")
+        if connection.fileno() < 0:
+            return False
+        unacknowledged = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+        return any(unacknowledged)
+
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the complete requests whose response was not written yet."""
         for position, exchange in enumerate(self._exchanges):
@@ -446,7 +467,21 @@
 
     def _start_idle_timer(self) -> None:
         if not self._exchanges and self._partial is None and not self._closing:
-            self._start_timer(self._server.limits().idle_seconds, self.close_gracefully)
+            self._start_timer(self._server.limits().idle_seconds, self._idle_timed_out)
+
+    def _idle_timed_out(self) -> None:
+        # The client is not idle while it receives a response.
+        if self.sending:
+            self._start_idle_timer()
+        else:
+            self.close_gracefully()
+
+    def _end_lingering(self) -> None:
+        # From the close on nothing is read, and unread bytes reset the connection.
+        if self.sending:
+            self._start_timer(LINGERING_CLOSE_SECONDS, self._end_lingering)
+        elif self._transport is not None:
+            self._transport.close()
 
     def _body_due_at(self, partial: _PartialRequest) -> float:
         """Return the loop time by which the whole body must have arrived."""
@@ -503,7 +538,7 @@
             self._transport.write_eof()
         if self._reading_paused:
             self._transport.resume_reading()
-        self._start_timer(LINGERING_CLOSE_SECONDS, self._transport.close)
+        self._start_timer(LINGERING_CLOSE_SECONDS, self._end_lingering)
 
 
 class _RejectedError(Exception):
--- a/tests/unit/mesh/test_http1_lost_responses.py
+++ b/tests/unit/mesh/test_http1_lost_responses.py
@@ -1,6 +1,7 @@
 """Responses of the HTTP/1.1 server that must reach the client before the close."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -10,6 +11,10 @@
 from cassiasail._internal.transport.http1.server import HttpServer
 from tests.unit.mesh.test_http1_server import GET, LIMITS, listening_port, statuses
 
+# More than the kernel buffers of a connection hold.
+LARGE_BYTES = 12_000_000
+SECOND_GET = GET.replace(b"/a", b"/b")
+
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 Client = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bytes]]
 
@@ -37,6 +42,21 @@
     return asyncio.run(main())
 
 
+async def read_slowly(reader: asyncio.StreamReader, size: int, seconds: float) -> bytes:
+    """Read ``size`` bytes in about ``seconds``, fewer if the connection ends."""
+    data = bytearray()
+    with contextlib.suppress(ConnectionError):
+        while len(data) < size and (chunk := await reader.read(size - len(data))):
+            data += chunk
+            await asyncio.sleep(seconds * len(chunk) / LARGE_BYTES)
+    return bytes(data)
+
+
+async def large_or_small(request: HttpRequest) -> HttpResponse:
+    size = LARGE_BYTES if request.target == b"/a" else 1
+    return HttpResponse(status=200, body=b"x" * size)
+
+
 @pytest.mark.parametrize(
     ("start", "end", "status"),
     [
@@ -64,3 +84,38 @@
         return await reader.read()
 
     assert statuses(converse(slow, send_the_rest_late)) == [200, status]
+
+
+@pytest.mark.parametrize("drain", [False, True])
+def test_request_behind_a_response_that_is_read_slowly_does_not_cut_it_off(
+    drain: bool,
+) -> None:
+    """Guards against bytes of a client that reset a connection with unsent bytes."""
+
+    async def pipeline_late(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(GET)
+        # Longer than the idle timeout and the lingering close together.
+        data = await read_slowly(reader, LARGE_BYTES * 2 // 3, 2.6)
+        writer.write(SECOND_GET)
+        return data + await read_slowly(reader, 2 * LARGE_BYTES, 0.1)
+
+    data = converse(large_or_small, pipeline_late, drain=drain)
+    assert data.count(b"x") >= LARGE_BYTES
+
+
+def test_idle_timeout_does_not_start_before_the_response_is_sent() -> None:
+    """Guards against a connection that is closed within its announced idle time."""
+
+    async def reuse_at_once(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(GET)
+        head = await reader.readuntil(b"\r\n\r\n")
+        body = await read_slowly(reader, LARGE_BYTES, 1.5)
+        assert len(body) == LARGE_BYTES and b"connection: close" not in head
+        writer.write(SECOND_GET)
+        return await reader.read(1000)
+
+    assert statuses(converse(large_or_small, reuse_at_once)) == [200]
