Bound the wait for slow clients by their progress

The soak did not record unanswered requests behind a response that closes the connection.

Change: idle timeout and lingering close wait on only while the client acknowledges bytes; a connection that makes no progress is aborted. If the send queue is unknown, the transport's buffer decides. abandon is renamed to answer_unfinished. The soak records all unanswered requests.

--- a/devtools/soak/pipelining.py
+++ b/devtools/soak/pipelining.py
@@ -17,8 +17,7 @@
 class PipeliningConnection:
     """One connection; responses are delivered in the order of the requests.
 
-    ``closing`` is true after a response with ``Connection: close``: requests without a
-    response were not read then, and a client sends them again.
+    ``closing`` is true after a response with ``Connection: close``.
     """
 
     def __init__(
--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -271,7 +271,7 @@
                     )
                 if connection.unanswered or connection.closing:
                     break
-            for attempt_id in () if connection.closing else connection.unanswered:
+            for attempt_id in connection.unanswered:
                 self._record_lost(vm, self.ledger.sent[attempt_id])
             connection.close()
 
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -64,8 +64,8 @@
 # Long polls for changes follow each other closely, so a connection that is idle for
 # longer is no longer needed.
 STORE_IDLE_TIMEOUT_SECONDS = 5.0
-# The daemon stops this long before SIGKILL is due, even with requests in flight: the
-# last responses are sent, and on a VM with 0.4 cores, process exit takes up to 0.3 s.
+# The daemon stops this long before SIGKILL is due, even with requests in flight. The
+# last responses take up to 0.15 s, and process exit up to 0.3 s on a VM with 0.4 cores.
 KILL_MARGIN_SECONDS = 0.5
 # How long the daemon waits before it exits for clients to receive their last responses
 # and to close the connections. Unread bytes of a client at the exit would reset its
@@ -277,15 +277,17 @@
         await asyncio.sleep(min(ACCEPT_WHILE_STOPPING_SECONDS, deadline - started_at))
         self._refusing_clients = True
         self._clients_server.close_listener()
-        while self._busy() and self._loop.time() < deadline:
-            await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
+        while self._has_unsent_responses() and self._loop.time() < deadline:
+            await asyncio.sleep(
+                min(IN_FLIGHT_POLL_SECONDS, deadline - self._loop.time())
+            )
         self._log_unanswered()
         self._events.write(
             "stopped",
             in_flight=self._in_flight(),
             took_ms=int((self._loop.time() - started_at) * 1000),
         )
-        self._clients_server.abandon(self._unfinished_response)
+        self._clients_server.answer_unfinished(self._unfinished_response)
         for server in (self._clients_server, self._peers_server):
             await server.stop()
         self._background.cancel()
@@ -295,7 +297,6 @@
     async def _wait_for_last_responses(self) -> None:
         """Wait until all clients have closed their connections, for a limited time."""
         deadline = self._loop.time() + LAST_RESPONSES_SECONDS
-        # The peers' connections get at least one interval to be flushed.
         await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
         while self._clients_server.connections and self._loop.time() < deadline:
             await asyncio.sleep(IN_FLIGHT_POLL_SECONDS)
@@ -348,7 +349,8 @@
                 self._events.write("background_failed", work=work.__qualname__)
             await asyncio.sleep(RESTART_DELAY_SECONDS)
 
-    def _busy(self) -> bool:
+    def _has_unsent_responses(self) -> bool:
+        """Return whether a request has no response yet or one that is being sent."""
         return bool(
             self._in_flight()
             or self._clients_server.sending
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -8,6 +8,7 @@
 import asyncio
 import fcntl
 import logging
+import sys
 import termios
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
@@ -26,8 +27,9 @@
 # Requests of one connection that may be without a response; reading pauses at this
 # number.
 MAX_PIPELINED = 16
-# After the last response, the connection is still read for this long. Otherwise late
-# bytes of the client could reset it before that response has arrived.
+# After the last response, the connection is still read for this long, and as often
+# again as the client acknowledges further bytes of it. Otherwise late bytes of the
+# client could reset the connection before that response has arrived.
 LINGERING_CLOSE_SECONDS = 1.0
 # Retry-After of a request whose body does not fit into memory; the others are done or
 # timed out soon.
@@ -118,13 +120,13 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of requests whose response was not written yet."""
+        """Number of requests whose response was not handed to the transport yet."""
         return sum(connection.in_flight for connection in self.connections)
 
     @property
     def sending(self) -> bool:
-        """Whether bytes of a response wait until the network takes them."""
-        return any(connection.sending for connection in self.connections)
+        """Whether a client has not yet acknowledged all bytes of its responses."""
+        return any(connection.unacknowledged_bytes() for connection in self.connections)
 
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the requests whose response was not written yet."""
@@ -142,13 +144,13 @@
         """Respond with ``Connection: close`` from now on; keep listening."""
         self.draining = True
 
-    def abandon(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
-        """Cancel all handlers and send what ``respond`` returns for their requests.
+    def answer_unfinished(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
+        """Cancel the running handlers and send what ``respond`` returns instead.
 
         Responses that are ready but wait for an earlier one are sent as well.
         """
         for connection in tuple(self.connections):
-            connection.abandon(respond)
+            connection.answer_unfinished(respond)
 
     def close_listener(self) -> None:
         """Accept no new connections; open ones continue."""
@@ -156,7 +158,7 @@
             self._server.close()
 
     async def stop(self) -> None:
-        """Close the listener and idle connections; leave requests in flight."""
+        """Close the listener and the connections without requests in flight."""
         self.close_listener()
         for connection in tuple(self.connections):
             if not connection.in_flight:
@@ -176,25 +178,39 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False
         self._reading_paused = False
+        # As of the last check whether the client still receives its responses.
+        self._unacknowledged_bytes = 0
 
     @property
     def in_flight(self) -> int:
         """Number of complete requests whose response was not written yet."""
         return len(self._exchanges)
 
-    @property
-    def sending(self) -> bool:
-        """Whether the client has not yet acknowledged all bytes of its responses."""
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of response bytes that the client has not acknowledged."""
         transport = self._transport
         if transport is None:
-            return False
-        if transport.get_write_buffer_size():
-            return True
+            return 0
+        buffered = transport.get_write_buffer_size()
         connection = transport.get_extra_info("socket")
-        if connection.fileno() < 0:
-            return False
-        unacknowledged = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
-        return any(unacknowledged)
+        if connection is None or connection.fileno() < 0:
+            return buffered
+        try:
+            sent = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError as error:
+            # Only the bytes that the kernel has not taken yet are known then.
+            logger.debug("the send queue of a connection is unknown: %s", error)
+            return buffered
+        return buffered + int.from_bytes(sent, sys.byteorder)
+
+    def _client_receives(self) -> bool:
+        """Return whether the client acknowledged bytes since the last call.
+
+        False also if there are none that it has to acknowledge.
+        """
+        before = self._unacknowledged_bytes
+        self._unacknowledged_bytes = now = self.unacknowledged_bytes()
+        return now > 0 and now != before
 
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the complete requests whose response was not written yet."""
@@ -205,8 +221,8 @@
                 has_response=exchange.done,
             )
 
-    def abandon(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
-        """Respond to the started requests now; see ``HttpServer.abandon``."""
+    def answer_unfinished(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
+        """Answer the started requests now; see ``HttpServer.answer_unfinished``."""
         for exchange in self._exchanges:
             if exchange.task is not None and not exchange.done:
                 exchange.task.cancel()
@@ -470,16 +486,21 @@
             self._start_timer(self._server.limits().idle_seconds, self._idle_timed_out)
 
     def _idle_timed_out(self) -> None:
-        # The client is not idle while it receives a response.
-        if self.sending:
+        # A client that still receives a response is not idle.
+        if self._client_receives():
             self._start_idle_timer()
         else:
             self.close_gracefully()
 
     def _end_lingering(self) -> None:
-        # From the close on nothing is read, and unread bytes reset the connection.
-        if self.sending:
+        """Close the connection once the client has all responses or takes no more.
+
+        From the close on nothing is read, and unread bytes would reset the connection.
+        """
+        if self._client_receives():
             self._start_timer(LINGERING_CLOSE_SECONDS, self._end_lingering)
+        elif self._transport is not None and self._unacknowledged_bytes:
+            self._transport.abort()
         elif self._transport is not None:
             self._transport.close()
 
--- a/tests/unit/mesh/test_http1_server.py
+++ b/tests/unit/mesh/test_http1_server.py
@@ -174,7 +174,7 @@
     assert data.count(b"connection: close") == 1
 
 
-def test_abandoned_requests_do_not_hold_back_finished_responses() -> None:
+def test_unfinished_requests_do_not_hold_back_finished_responses() -> None:
     """Guards against finished responses that are lost with an unfinished one."""
     cancelled = []
 
@@ -198,7 +198,7 @@
             while sum(each.has_response for each in server.unanswered()) < 1:
                 await asyncio.sleep(0.01)
         server.drain()
-        server.abandon(lambda request: HttpResponse(status=502))
+        server.answer_unfinished(lambda request: HttpResponse(status=502))
         data = await asyncio.wait_for(reader.read(), 5)
         writer.close()
         await server.stop()
