Show that a store restored from a backup loses the changes after it

Cause: the store may come back from a copy some seconds old; its versions go back and are given out again, and the header Store-Era rises.

--- a/devtools/platform_stand_in.py
+++ b/devtools/platform_stand_in.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -85,15 +86,21 @@
 
     ``down`` makes all requests fail, ``delay`` delays them by some seconds, and
     ``drops_responses`` closes the connection after a write in place of a response.
+    ``era`` counts the restores.
     """
 
     def __init__(self) -> None:
         self.row_by_id: dict[tuple[str, str], dict[str, Any]] = {}
         self.version = 0
+        self.era = 0
         self.down = False
         self.delay = 0.0
         self.drops_responses = False
         self._history_start = 0
+        # Time, version and rows after each write.
+        self._backups: list[tuple[float, int, dict[tuple[str, str], Any]]] = [
+            (time.monotonic(), 0, {})
+        ]
         self.address = Address(HOST, free_port())
         self._runner: web.AppRunner | None = None
 
@@ -107,6 +114,20 @@
             "value": base64.b64encode(value).decode(),
             "ver": self.version,
         }
+        self._backups.append((time.monotonic(), self.version, dict(self.row_by_id)))
+
+    def restore(self, age_seconds: float) -> None:
+        """Return to the rows and the version of ``age_seconds`` ago, in a new era.
+
+        The versions behind that one are given out again.
+        """
+        moment = time.monotonic() - age_seconds
+        while len(self._backups) > 1 and self._backups[-1][0] > moment:
+            self._backups.pop()
+        _, self.version, rows = self._backups[-1]
+        self.row_by_id = dict(rows)
+        self._history_start = min(self._history_start, self.version)
+        self.era += 1
 
     def drop_history(self) -> None:
         """Drop the feed history, so that readers must read the tables again."""
@@ -131,15 +152,23 @@
             (row for row in rows if row["ver"] > after), key=lambda row: row["ver"]
         )
 
+    def _reply(
+        self, document: dict[str, Any] | None = None, *, status: int = 200
+    ) -> web.Response:
+        headers = {"Store-Era": str(self.era)}
+        if document is None:
+            return web.Response(status=status, headers=headers)
+        return web.json_response(document, status=status, headers=headers)
+
     def _page(self, rows: list[dict[str, Any]]) -> web.Response:
-        return web.json_response(
+        return self._reply(
             {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
         )
 
     async def _read(self, request: web.Request) -> web.Response:
         await asyncio.sleep(self.delay)
         if self.down:
-            return web.Response(status=503)
+            return self._reply(status=503)
         return self._page(self._rows(request.query["table"], 0))
 
     async def _feed(self, request: web.Request) -> web.Response:
@@ -148,10 +177,11 @@
         )
         while True:
             if self.down:
-                return web.Response(status=503)
-            if int(request.query["after"]) < self._history_start:
-                return web.Response(status=410)
-            rows = self._rows(request.query["table"], int(request.query["after"]))
+                return self._reply(status=503)
+            after = int(request.query["after"])
+            if not self._history_start <= after <= self.version:
+                return self._reply(status=410)
+            rows = self._rows(request.query["table"], after)
             if rows or asyncio.get_running_loop().time() >= deadline:
                 # Build the page before the delay: its rows and version must match.
                 page = self._page(rows)
@@ -162,7 +192,7 @@
     async def _transact(self, request: web.Request) -> web.Response:
         await asyncio.sleep(self.delay)
         if self.down:
-            return web.Response(status=503)
+            return self._reply(status=503)
         body = await request.json()
         conditions = body["precondition"]
         current_rows = [self.row_by_id.get((c["table"], c["key"])) for c in conditions]
@@ -171,12 +201,12 @@
             for row, condition in zip(current_rows, conditions, strict=True)
         ):
             rows = [row for row in current_rows if row]
-            return web.json_response({"rows": rows, "ver": self.version}, status=412)
+            return self._reply({"rows": rows, "ver": self.version}, status=412)
         for write in body["writes"]:
             self.put(write["table"], write["key"], base64.b64decode(write["value"]))
         if self.drops_responses and request.transport is not None:
             request.transport.close()
-        return web.json_response({"ver": self.version, "nowMs": 1})
+        return self._reply({"ver": self.version, "nowMs": 1})
 
 
 RequestHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
