Order versions of the store by its era first

What callers saw: after the store came back from a backup, a change that had been acknowledged was not in force in time.

Cause: versions were bare integers. After a restore they are lower and are given out again, so every daemon dropped all that it read as "behind" until they had overtaken its own (21.5 to 24.7 s), and then a row whose number was not above that of the lost one for good. The publisher had the same guard, so a record that the backup lacks was not written again. The header Store-Era was not read. Log lines distinguish this from the other hypotheses: store_lost with "behind" in all daemons, config_older in none.

Change: StoreVersion (era, number) takes the place of the integer in state, protocol and coordination, so every comparison is right by construction. Changes after a version of another era are HistoryGone, a read of two eras fails, the first copy of a later era replaces all rows and changes of it extend no earlier copy. Daemons send the era to each other in a header of its own, which earlier builds ignore; a poll between eras doesn't wait. The publisher forgets what it stored when a later era begins, also if no copy had its row, and doesn't believe an acknowledgement from before. The final state of an incarnation outlives an older record of it. store_restored in the log and two gauges show the change of era.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -11,7 +11,7 @@
 import heapq
 import math
 from collections.abc import Collection, Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from random import Random
 from zlib import crc32
@@ -19,7 +19,8 @@
 from ...ids import DataCentre, Region, ServiceName
 from ...protocol.exchanges import Address, parse_address
 from ...state.calls import HostLoad
-from ...state.hosts import HostId, HostRecord, TargetState
+from ...state.hosts import HostId, HostRecord, Incarnation, TargetState
+from ...state.table_mirror import StoreVersion
 from .admission import INITIAL_SERVICE_SECONDS, RunningMean
 from .following import SyncSources
 
@@ -55,6 +56,9 @@
 # of the local data centre, and at each greater distance, where traffic is expensive.
 MAX_LOCAL_FALLBACK_SOURCES = 2
 MAX_FALLBACK_SOURCES_PER_DISTANCE = 1
+# Number of incarnations of targets whose end is remembered. A backup is at most seconds
+# old, and fewer targets than this end in that time in the largest fleet.
+MAX_ENDED_INCARNATIONS = 1024
 
 
 class Distance(IntEnum):
@@ -86,7 +90,7 @@
     """
 
     record: HostRecord
-    version: int
+    version: StoreVersion
     address: Address
     distance: Distance
     load: HostLoad | None = None
@@ -150,15 +154,21 @@
     own_link_mbps: int
     random: Random
     view_by_host: dict[HostId, HostView] = field(default_factory=dict)
+    _final_state_by_incarnation: dict[tuple[HostId, Incarnation], TargetState] = field(
+        default_factory=dict
+    )
     _service_time_by_route: dict[str, RunningMean] = field(default_factory=dict)
     _response_kb_by_route: dict[str, RunningMean] = field(default_factory=dict)
 
-    def update(self, record: HostRecord, version: int) -> None:
+    def update(self, record: HostRecord, version: StoreVersion) -> None:
         """Apply a new or changed host record, stored as ``version``.
 
         A malformed record, or one whose address belongs to a newer record of another
-        VM, is ignored. A VM whose address changed gets a new view.
+        VM, is ignored. A VM whose address changed gets a new view. An incarnation of a
+        target that was leaving or absent keeps that state: a store that was restored
+        from a backup may have its former record.
         """
+        record = self._with_final_state(record)
         if not self._resolve_address_conflict(record, version):
             return
         view = self.view_by_host.get(record.host)
@@ -182,7 +192,21 @@
             distance=self._distance_to(record),
         )
 
-    def _resolve_address_conflict(self, record: HostRecord, version: int) -> bool:
+    def _with_final_state(self, record: HostRecord) -> HostRecord:
+        """Return ``record`` with the state in which its target ended, if it did."""
+        final_states = self._final_state_by_incarnation
+        key = (record.host, record.incarnation)
+        if record.state is TargetState.ABSENT:
+            final_states[key] = record.state
+        elif record.state is TargetState.LEAVING:
+            final_states.setdefault(key, record.state)
+        while len(final_states) > MAX_ENDED_INCARNATIONS:
+            del final_states[next(iter(final_states))]
+        return replace(record, state=final_states.get(key, record.state))
+
+    def _resolve_address_conflict(
+        self, record: HostRecord, version: StoreVersion
+    ) -> bool:
         """Remove older VMs with the address of ``record``; false if a newer one has it.
 
         The address of a dead VM may be assigned to another VM while the record of the
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -19,7 +19,13 @@
 from ...protocol import table_sync
 from ...protocol.exchanges import Address, ExchangeFailed, Exchanger
 from ...protocol.table_sync import SyncQuery, SyncReply
-from ...state.table_mirror import StoredRow, TableDelta, TableMirror
+from ...state.table_mirror import (
+    NO_VERSION,
+    StoredRow,
+    StoreVersion,
+    TableDelta,
+    TableMirror,
+)
 from .backoff import Backoff
 from .shared_tables import HistoryGone, SharedTables, StoreFailed
 
@@ -154,9 +160,11 @@
     """Keeps a copy of one table and serves it to followers.
 
     ``changed`` is called with each new, changed or deleted row, ``unreachable`` with
-    the address of each peer that accepted no connection. ``peers`` returns the current
-    order of sources. If ``peers_known`` is given, the first poll waits for this event,
-    up to ``PEERS_KNOWN_TIMEOUT_SECONDS``, and with ``first_start`` also until a peer is
+    the address of each peer that accepted no connection. If the store was restored from
+    a backup, ``restored`` is called with the version of the copy that replaces this
+    one, before ``changed`` gets its rows. ``peers`` returns the current order of
+    sources. If ``peers_known`` is given, the first poll waits for this event, up to
+    ``PEERS_KNOWN_TIMEOUT_SECONDS``, and with ``first_start`` also until a peer is
     known.
     """
 
@@ -172,6 +180,7 @@
         unreachable: Callable[[Address], None],
         events: EventLog,
         random: Random,
+        restored: Callable[[StoreVersion], None] | None = None,
         peers_known: asyncio.Event | None = None,
         first_start: bool = False,
     ) -> None:
@@ -184,7 +193,8 @@
         self._peers = peers
         self._unreachable = unreachable
         self._events = events
-        self._mirror = TableMirror(changed=changed)
+        self._restored = restored
+        self._mirror = TableMirror(changed=changed, restored=self._copy_replaced)
         self._loop = asyncio.get_running_loop()
         self._backoffs = _SourceBackoffs(random)
         self._confirmed_at = float("-inf")
@@ -202,6 +212,11 @@
         """Seconds since the store confirmed this copy."""
         return self._loop.time() - self._confirmed_at
 
+    @property
+    def version(self) -> StoreVersion:
+        """Version of this copy."""
+        return self._mirror.version
+
     @property
     def _is_stale(self) -> bool:
         return self.age > STALE_AGE_FACTOR * self._times.max_age
@@ -335,14 +350,35 @@
             self._wake_followers()
         return True
 
+    def _copy_replaced(self, old: StoreVersion, new: StoreVersion) -> None:
+        """Report that the first copy of a later era is going to replace this one."""
+        if self.first_copy_read.is_set():
+            self._events.write(
+                "store_restored",
+                table=self._table,
+                old_era=old.era,
+                old_version=old.number,
+                era=new.era,
+                version=new.number,
+            )
+        if self._restored is not None:
+            self._restored(new)
+        # Also wakes them if the new copy has no rows.
+        self._wake_followers()
+
     async def serve(self, query: SyncQuery) -> SyncReply:
-        """Reply when rows changed, this copy is too old or the wait is over."""
+        """Reply when rows changed, this copy is too old or the wait is over.
+
+        A follower whose copy is of another era gets its reply at once: either it needs
+        this copy, or it has to poll another source.
+        """
         deadline = self._loop.time() + min(query.wait, MAX_LONG_POLL_SECONDS)
         while True:
             if self._stopped:
-                empty = TableDelta(rows=(), version=0)
+                empty = TableDelta(rows=(), version=NO_VERSION)
                 return SyncReply(delta=empty, age=float("inf"))
-            delta = self._mirror.since(query.after)
+            era = self._mirror.version.era if query.era is None else query.era
+            delta = self._mirror.since(StoreVersion(era=era, number=query.after))
             remaining = deadline - self._loop.time()
             if self.first_copy_read.is_set():
                 # Reply as soon as this copy is too old, so that the follower changes
@@ -350,6 +386,8 @@
                 # power loss all daemons start together and must not all read the store
                 # over one narrow link.
                 remaining = min(remaining, self._times.max_age - self.age)
+                if era != self._mirror.version.era:
+                    remaining = 0.0
             if delta.rows or remaining <= 0:
                 return SyncReply(delta=delta, age=self.age)
             wake_event = self._wake_event
@@ -379,7 +417,10 @@
     ) -> SyncReply | _PollFailed:
         if source is None:
             return await self._poll_store(wait)
-        query = SyncQuery(table=self._table, after=self._mirror.version, wait=wait)
+        version = self._mirror.version
+        query = SyncQuery(
+            table=self._table, after=version.number, era=version.era, wait=wait
+        )
         result = await self._pool.exchange(
             source,
             table_sync.encode_query(query),
--- a/src/cassiasail/_internal/coordination/mesh/probing.py
+++ b/src/cassiasail/_internal/coordination/mesh/probing.py
@@ -23,7 +23,9 @@
 MIN_DELAY_FRACTION = 0.7
 PROBE_TIMEOUT_SECONDS = 0.5
 # Names no table: any response, also an error, shows that the daemon is serving.
-PROBE_REQUEST = table_sync.encode_query(SyncQuery(table="", after=0, wait=0.0))
+PROBE_REQUEST = table_sync.encode_query(
+    SyncQuery(table="", after=0, era=None, wait=0.0)
+)
 
 
 class SuspectProber:
--- a/src/cassiasail/_internal/coordination/mesh/pruning.py
+++ b/src/cassiasail/_internal/coordination/mesh/pruning.py
@@ -11,6 +11,7 @@
 from ...events import EventLog
 from ...protocol.exchanges import ExchangeFailed, Exchanger
 from ...state.hosts import HostId
+from ...state.table_mirror import StoreVersion
 from .balancing import Distance, Fleet, HostView
 from .probing import PROBE_REQUEST, PROBE_TIMEOUT_SECONDS
 from .shared_tables import ConditionalWrite, SharedTables, WriteDone
@@ -45,7 +46,7 @@
         self._events = events
         self._loop = asyncio.get_running_loop()
         # By host and record version: a record that changes is timed from the start.
-        self._unreachable_since: dict[tuple[HostId, int], float] = {}
+        self._unreachable_since: dict[tuple[HostId, StoreVersion], float] = {}
 
     async def run(self) -> None:
         """Remove records until cancelled, while this VM is the first relay."""
@@ -84,7 +85,7 @@
         )
         return not isinstance(result, ExchangeFailed)
 
-    async def _remove(self, host: HostId, version: int) -> None:
+    async def _remove(self, host: HostId, version: StoreVersion) -> None:
         write = ConditionalWrite(key=host, value=None, expected=version)
         result = await self._tables.write(self._table, [write])
         removed = isinstance(result, WriteDone)
--- a/src/cassiasail/_internal/coordination/mesh/publishing.py
+++ b/src/cassiasail/_internal/coordination/mesh/publishing.py
@@ -1,17 +1,24 @@
 """Publishes the record of this VM in the store.
 
 Each write is conditional on the last known version of the row. A write whose response
-was lost and that the store performs late therefore can't overwrite a newer one.
+was lost and that the store performs late therefore can't overwrite a newer one. A store
+that was restored from a backup may have lost a write that it had acknowledged; the row
+is then written again.
 """
 
 import asyncio
 from random import Random
 
 from ...events import EventLog
-from ...state.table_mirror import StoredRow
+from ...state.table_mirror import NO_VERSION, StoredRow, StoreVersion
 from .backoff import Backoff
 from .following import FIRST_RETRY_DELAY_SECONDS
-from .shared_tables import ConditionalWrite, SharedTables, WriteConflict, WriteDone
+from .shared_tables import (
+    ConditionalWrite,
+    SharedTables,
+    StoreFailed,
+    WriteConflict,
+)
 
 # Changes of the target within this time are combined into one write.
 BATCH_SECONDS = 0.05
@@ -39,7 +46,9 @@
         self._random = random
         self._wanted_value: bytes | None = None
         self._stored_value: bytes | None = None
-        self._stored_version = 0
+        # Latest state of the row that the store reported; the value is None if the row
+        # does not exist.
+        self._stored_version = NO_VERSION
         self._write_needed = asyncio.Event()
         self._stored_event = asyncio.Event()
 
@@ -64,9 +73,21 @@
         """
         if row.version < self._stored_version:
             return
-        self._stored_version = 0 if row.deleted else row.version
-        self._stored_value = None if row.deleted else row.value
-        if self._stored_value != self._wanted_value:
+        self._set_stored(row.version, None if row.deleted else row.value)
+
+    def observe_restore(self, version: StoreVersion) -> None:
+        """Forget the stored row: the store was restored and its first copy is read.
+
+        ``version`` is the version of that copy. ``observe`` is called afterwards if the
+        copy has the row. A row that was written shortly before the restore may have
+        been in no copy, so no other call reports that it is missing now.
+        """
+        if self._stored_version.era < version.era:
+            self._set_stored(StoreVersion(era=version.era, number=0), None)
+
+    def _set_stored(self, version: StoreVersion, value: bytes | None) -> None:
+        self._stored_version, self._stored_value = version, value
+        if value != self._wanted_value:
             self._write_needed.set()
 
     async def run(self) -> None:
@@ -88,18 +109,28 @@
             await asyncio.sleep(backoff.next_delay(max_delay=MAX_RETRY_DELAY_SECONDS))
 
     async def _write(self, wanted: bytes) -> bool:
+        exists = self._stored_value is not None
         write = ConditionalWrite(
-            key=self._key, value=wanted, expected=self._stored_version
+            key=self._key,
+            value=wanted,
+            expected=self._stored_version if exists else None,
         )
         result = await self._tables.write(self._table, [write])
-        if isinstance(result, WriteDone):
-            self._stored_version, self._stored_value = result.version, wanted
-            self._events.write("record_written", version=result.version)
-            return True
+        if isinstance(result, StoreFailed):
+            self._events.write("record_not_written", reason=result.reason)
+            return False
+        era = result.era if isinstance(result, WriteConflict) else result.version.era
+        if era < self._stored_version.era:
+            # The store was restored since it sent this response.
+            self._events.write("record_not_written", reason="restored", era=era)
+            return False
         if isinstance(result, WriteConflict):
             current = next((r for r in result.rows if r.key == self._key), None)
-            self._stored_version = current.version if current is not None else 0
+            self._stored_version = (
+                current.version if current is not None else StoreVersion(era, 0)
+            )
             self._stored_value = current.value if current is not None else None
             return self._stored_value == wanted
-        self._events.write("record_not_written", reason=result.reason)
-        return False
+        self._stored_version, self._stored_value = result.version, wanted
+        self._events.write("record_written", era=era, version=result.version.number)
+        return True
--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -187,6 +187,8 @@
             return None
         if current is not None or self._unconfirmed is not None:
             return None
+        if incarnation in self._ended_incarnations:
+            return None
         self._unconfirmed = TargetHeartbeat(
             target=record.target,
             start_time_ms=record.start_time_ms,
--- a/src/cassiasail/_internal/coordination/mesh/shared_tables.py
+++ b/src/cassiasail/_internal/coordination/mesh/shared_tables.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ...state.table_mirror import StoredRow, TableDelta
+from ...state.table_mirror import StoredRow, StoreVersion, TableDelta
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,27 +27,31 @@
 class WriteDone:
     """The transaction was committed as ``version``."""
 
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WriteConflict:
-    """The version of a row was not the expected one; ``rows`` are the current rows."""
+    """The version of a row was not the expected one; ``rows`` are the current rows.
+
+    ``era`` is the era of the store at that moment.
+    """
 
     rows: tuple[StoredRow, ...]
+    era: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConditionalWrite:
     """Sets row ``key`` to ``value`` if the version of the row is ``expected``.
 
-    A value of None removes the row. An expected version of 0 means that the row does
-    not exist.
+    A value of None removes the row. An expected version of None means that the row does
+    not exist. The store compares the number of the version only.
     """
 
     key: str
     value: bytes | None
-    expected: int
+    expected: StoreVersion | None
 
 
 class SharedTables(Protocol):
@@ -58,11 +62,12 @@
         ...
 
     async def changes(
-        self, table: str, *, after: int, wait: float
+        self, table: str, *, after: StoreVersion, wait: float
     ) -> TableDelta | HistoryGone | StoreFailed:
         """Return the rows changed after version ``after``.
 
-        Without changes the store waits up to ``wait`` seconds for one.
+        Without changes the store waits up to ``wait`` seconds for one. Changes after a
+        version of another era are not known: the history is gone.
         """
         ...
 
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -175,6 +175,18 @@
     ["table"],
     registry=REGISTRY,
 )
+MESH_TABLE_ERA = Gauge(
+    "cassiasail_mesh_table_era",
+    "Era of the store in this daemon's copy of a table, by table.",
+    ["table"],
+    registry=REGISTRY,
+)
+MESH_TABLE_VERSION = Gauge(
+    "cassiasail_mesh_table_version",
+    "Version of this daemon's copy of a table within its era, by table.",
+    ["table"],
+    registry=REGISTRY,
+)
 MESH_HOSTS = Gauge(
     "cassiasail_mesh_hosts",
     "VMs in this daemon's tables, by the state of their target.",
--- a/src/cassiasail/_internal/protocol/table_sync.py
+++ b/src/cassiasail/_internal/protocol/table_sync.py
@@ -2,6 +2,8 @@
 
 The request is an HTTP GET with the name of the table and the version that the follower
 has. The response body is compressed CBOR with the changed rows and the age of the copy.
+Both have the era of the store in a header of its own, which builds from before the eras
+ignore and don't send.
 """
 
 import zlib
@@ -9,11 +11,12 @@
 
 import cbor2
 
-from ..state.table_mirror import StoredRow, TableDelta
+from ..state.table_mirror import StoredRow, StoreVersion, TableDelta
 from .http1 import HttpRequest, HttpResponse
 
 PATH = b"/tables"
 _QUERY_HEADER = b"cs-sync"
+_ERA_HEADER = b"cs-era"
 # The fastest zlib level is enough, because configurations are repetitive text.
 _ZLIB_LEVEL = 1
 # Limit of the decompressed body; a larger table would not fit into the memory of a
@@ -23,13 +26,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SyncQuery:
-    """A request for the changes of ``table`` after version ``after``.
+    """A request for the changes of ``table`` after version number ``after`` of ``era``.
 
-    Without changes the source waits up to ``wait`` seconds for one.
+    ``era`` is None if the build of the follower knows no eras. Without changes the
+    source waits up to ``wait`` seconds for one.
     """
 
     table: str
     after: int
+    era: int | None
     wait: float
 
 
@@ -47,8 +52,10 @@
 def encode_query(query: SyncQuery) -> HttpRequest:
     """Return the request that carries ``query``."""
     value = f"{query.table},{query.after},{int(query.wait * 1000)}".encode()
-    headers = ((b"host", b"peer"), (_QUERY_HEADER, value))
-    return HttpRequest(method=b"GET", target=PATH, headers=headers)
+    headers = [(b"host", b"peer"), (_QUERY_HEADER, value)]
+    if query.era is not None:
+        headers.append((_ERA_HEADER, str(query.era).encode()))
+    return HttpRequest(method=b"GET", target=PATH, headers=tuple(headers))
 
 
 def decode_query(request: HttpRequest) -> SyncQuery | None:
@@ -58,7 +65,13 @@
         return None
     try:
         table, after, wait_ms = value.decode("ascii").split(",")
-        return SyncQuery(table=table, after=int(after), wait=int(wait_ms) / 1000)
+        era = request.header(_ERA_HEADER)
+        return SyncQuery(
+            table=table,
+            after=int(after),
+            era=None if era is None else int(era),
+            wait=int(wait_ms) / 1000,
+        )
     except (UnicodeDecodeError, ValueError):
         return None
 
@@ -66,14 +79,23 @@
 def encode_reply(reply: SyncReply) -> HttpResponse:
     """Return the response that carries ``reply``."""
     delta = reply.delta
-    rows = [[row.key, row.value, row.version, row.deleted] for row in delta.rows]
+    rows = [[row.key, row.value, row.version.number, row.deleted] for row in delta.rows]
     age_ms = -1 if reply.age == float("inf") else int(reply.age * 1000)
-    body = cbor2.dumps([delta.version, delta.whole, age_ms, rows])
-    return HttpResponse(status=200, body=zlib.compress(body, _ZLIB_LEVEL))
+    body = cbor2.dumps([delta.version.number, delta.whole, age_ms, rows])
+    era = str(delta.version.era).encode()
+    return HttpResponse(
+        status=200,
+        headers=((_ERA_HEADER, era),),
+        body=zlib.compress(body, _ZLIB_LEVEL),
+    )
 
 
 def decode_reply(response: HttpResponse) -> SyncReply | None:
-    """Return the reply in ``response``, None if it is malformed or an error."""
+    """Return the reply in ``response``, None if it is malformed or an error.
+
+    A reply of a build that knows no eras counts as one of era 0, so it never replaces
+    a copy of a later one.
+    """
     if response.status != 200:
         return None
     try:
@@ -81,10 +103,11 @@
         body = decompressor.decompress(response.body, MAX_TABLE_BYTES)
         if not decompressor.eof:
             return None
+        era = int(response.header(_ERA_HEADER) or 0)
         version, whole, age_ms, rows = cbor2.loads(body)
         delta = TableDelta(
-            rows=tuple(_decode_row(*each) for each in rows),
-            version=int(version),
+            rows=tuple(_decode_row(era, *each) for each in rows),
+            version=StoreVersion(era=era, number=int(version)),
             whole=bool(whole),
         )
         age_seconds = float("inf") if age_ms < 0 else age_ms / 1000
@@ -94,7 +117,7 @@
 
 
 def _decode_row(
-    key: object, value: object, version: object, deleted: object
+    era: int, key: object, value: object, version: object, deleted: object
 ) -> StoredRow:
     if not isinstance(key, str) or not isinstance(value, bytes):
         raise ValueError(
@@ -102,4 +125,9 @@
         )
     if not isinstance(version, int):
         raise ValueError("version of a row is not an integer")
-    return StoredRow(key=key, value=value, version=version, deleted=bool(deleted))
+    return StoredRow(
+        key=key,
+        value=value,
+        version=StoreVersion(era=era, number=version),
+        deleted=bool(deleted),
+    )
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -27,6 +27,7 @@
     encode_record,
 )
 from ..state.mesh_config import MeshConfig, MeshService
+from ..state.table_mirror import StoreVersion
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +48,9 @@
 MAX_PUBLISHED_CRASHES = 2
 # A target that misses this many heartbeats in a row is taken out of service.
 MAX_MISSED_HEARTBEATS = 4
+# Version of the record of this VM in the fleet of its own daemon. It is newer than
+# every stored one, because only this daemon writes the record.
+OWN_RECORD_VERSION = StoreVersion(era=sys.maxsize, number=sys.maxsize)
 
 
 class OwnTarget:
@@ -243,6 +247,5 @@
             link_mbps=int(settings.link_mbps),
             crashes=self._crashes,
         )
-        # Newer than every stored version: only this daemon writes the record.
-        self._fleet.update(record, sys.maxsize)
+        self._fleet.update(record, OWN_RECORD_VERSION)
         self._publisher.set_wanted(encode_record(record))
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -193,6 +193,7 @@
             fleet=self._fleet,
             crashes=self._crashes,
             own_row_changed=self._publisher.observe,
+            records_restored=self._publisher.observe_restore,
             previous_record_found=self._own_target.apply_stored_record,
             peer_unreachable=self._peer_unreachable,
             events=self._events,
@@ -383,6 +384,9 @@
             metrics.MESH_TARGET_SLOTS.labels(use).set(getattr(load, use))
         for table, age in self._store_view.age_by_table().items():
             metrics.MESH_TABLE_AGE.labels(table).set(age)
+        for table, version in self._store_view.version_by_table().items():
+            metrics.MESH_TABLE_ERA.labels(table).set(version.era)
+            metrics.MESH_TABLE_VERSION.labels(table).set(version.number)
         states = Counter(
             host_view.record.state for host_view in self._fleet.view_by_host.values()
         )
--- a/src/cassiasail/_internal/sidecar/store_view.py
+++ b/src/cassiasail/_internal/sidecar/store_view.py
@@ -17,7 +17,7 @@
 from ..protocol.http1 import HttpResponse
 from ..state.hosts import HostRecord, decode_record
 from ..state.mesh_config import ConfigRejected, MeshConfig
-from ..state.table_mirror import StoredRow
+from ..state.table_mirror import StoredRow, StoreVersion
 
 # The table in which the daemons publish their records.
 HOSTS_TABLE = "hosts"
@@ -40,10 +40,12 @@
     """Follows both tables and keeps ``fleet`` and the configuration up to date.
 
     Callbacks: ``own_row_changed`` gets each version of the row of this VM,
-    ``previous_record_found`` the record that an earlier incarnation of this daemon
-    published, ``peer_unreachable`` the address of a VM that refused a connection.
-    ``config_apply_seconds`` is the time within which a new configuration must be
-    applied, ``first_start`` true if the whole system has never run.
+    ``records_restored`` the version of the first copy of the records after the store
+    was restored from a backup, ``previous_record_found`` the record that an earlier
+    incarnation of this daemon published, ``peer_unreachable`` the address of a VM that
+    refused a connection. ``config_apply_seconds`` is the time within which a new
+    configuration must be applied, ``first_start`` true if the whole system has never
+    run.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         fleet: Fleet,
         crashes: CrashHistory,
         own_row_changed: Callable[[StoredRow], None],
+        records_restored: Callable[[StoreVersion], None],
         previous_record_found: Callable[[HostRecord], None],
         peer_unreachable: Callable[[Address], None],
         events: EventLog,
@@ -78,6 +81,7 @@
             HOSTS_TABLE,
             FollowTimes(wait=HOSTS_WAIT_SECONDS, max_age=HOSTS_MAX_AGE_SECONDS),
             self._host_row_changed,
+            restored=records_restored,
         )
         config = self._build_follower(
             configuration.TABLE,
@@ -102,6 +106,12 @@
             name: follower.age for name, follower in self._follower_by_table.items()
         }
 
+    def version_by_table(self) -> dict[str, StoreVersion]:
+        """Return the version of this daemon's copy of each table."""
+        return {
+            name: follower.version for name, follower in self._follower_by_table.items()
+        }
+
     async def run(self) -> None:
         """Follow the tables until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -125,6 +135,8 @@
         table: str,
         times: FollowTimes,
         row_changed: Callable[[StoredRow], None],
+        *,
+        restored: Callable[[StoreVersion], None] | None = None,
         starts_after: asyncio.Event | None = None,
     ) -> TableFollower:
         return TableFollower(
@@ -134,6 +146,7 @@
             times=times,
             peers=self._fleet.sync_sources,
             changed=row_changed,
+            restored=restored,
             unreachable=self._peer_unreachable,
             events=self._events,
             random=self._random,
@@ -190,7 +203,11 @@
             if not row.deleted:
                 self._events.write("record_malformed", host=row.key)
             return
+        view = self._fleet.view_by_host.get(row.key)
+        is_known = view is not None and view.record == record
         self._fleet.update(record, row.version)
+        if is_known:
+            return
         self._events.write(
             "host_learnt",
             host=row.key,
--- a/src/cassiasail/_internal/state/table_mirror.py
+++ b/src/cassiasail/_internal/state/table_mirror.py
@@ -2,19 +2,35 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 # Number of tombstones (deleted rows) kept for followers. A follower that missed more of
 # them gets the whole table.
 MAX_TOMBSTONES = 1024
 
 
+class StoreVersion(NamedTuple):
+    """Orders the states of the store, also across its restores from a backup.
+
+    ``number`` rises with each transaction. A restore sets it back, and the numbers
+    behind it are given out again; ``era`` counts the restores.
+    """
+
+    era: int
+    number: int
+
+
+# Version of a copy that was never read.
+NO_VERSION = StoreVersion(era=0, number=0)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoredRow:
     """One row; ``version`` is the version of the transaction that wrote it."""
 
     key: str
     value: bytes
-    version: int
+    version: StoreVersion
     deleted: bool = False
 
 
@@ -26,27 +42,42 @@
     """
 
     rows: tuple[StoredRow, ...]
-    version: int
+    version: StoreVersion
     whole: bool = False
 
 
 class TableMirror:
     """The rows of a table by key; a row is only replaced by one of a higher version.
 
-    ``changed`` is called with each new, changed or deleted row.
+    ``changed`` is called with each new, changed or deleted row. Before the first copy
+    of a later era replaces this one, ``restored`` is called with the versions of both;
+    ``changed`` then gets every row of the new copy.
     """
 
-    def __init__(self, *, changed: Callable[[StoredRow], None]) -> None:
+    def __init__(
+        self,
+        *,
+        changed: Callable[[StoredRow], None],
+        restored: Callable[[StoreVersion, StoreVersion], None],
+    ) -> None:
         self._changed = changed
+        self._restored = restored
         self._row_by_key: dict[str, StoredRow] = {}
         self._tombstone_by_key: dict[str, StoredRow] = {}
-        self._last_dropped_version = 0
-        self.version = 0
+        self._last_dropped_version = NO_VERSION
+        self.version = NO_VERSION
 
     def apply(self, delta: TableDelta) -> bool:
-        """Apply ``delta``; return false if it is older than this copy."""
+        """Apply ``delta``; return false if it is older than this copy.
+
+        Changes of a later era are not applied either: they continue another copy.
+        """
         if delta.version < self.version:
             return False
+        if delta.version.era > self.version.era:
+            if not delta.whole:
+                return False
+            self._start_era(delta.version)
         if delta.whole:
             present_keys = {row.key for row in delta.rows}
             for key in [key for key in self._row_by_key if key not in present_keys]:
@@ -58,18 +89,31 @@
         self.version = delta.version
         return True
 
-    def since(self, version: int) -> TableDelta:
+    def since(self, version: StoreVersion) -> TableDelta:
         """Return the rows changed after ``version``.
 
-        Returns the whole table if ``version`` is 0 or a newer tombstone was dropped.
+        Returns the whole table if ``version`` is of an earlier era, its number is 0, or
+        a newer tombstone was dropped.
         """
-        if version <= 0 or version < self._last_dropped_version:
+        is_earlier_era = version.era < self.version.era
+        if (
+            is_earlier_era
+            or version.number <= 0
+            or version < self._last_dropped_version
+        ):
             rows = tuple(self._row_by_key.values())
             return TableDelta(rows=rows, version=self.version, whole=True)
         candidates = (*self._row_by_key.values(), *self._tombstone_by_key.values())
         rows = tuple(row for row in candidates if row.version > version)
         return TableDelta(rows=rows, version=self.version)
 
+    def _start_era(self, version: StoreVersion) -> None:
+        """Prepare for the first copy of a later era, which has ``version``."""
+        self._restored(self.version, version)
+        self._tombstone_by_key.clear()
+        # Rows that were deleted in this era before ``version`` are not known.
+        self._last_dropped_version = version
+
     def _apply_row(self, row: StoredRow) -> None:
         known = self._row_by_key.get(row.key) or self._tombstone_by_key.get(row.key)
         if known is not None and row.version <= known.version:
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -16,7 +16,7 @@
 )
 from .._internal.protocol.exchanges import Address, ExchangeFailed, Exchanger
 from .._internal.protocol.http1 import HttpRequest, HttpResponse
-from .._internal.state.table_mirror import StoredRow, TableDelta
+from .._internal.state.table_mirror import StoredRow, StoreVersion, TableDelta
 from . import fields
 
 # Timeout of a write. A response normally takes a few milliseconds. After the timeout,
@@ -30,6 +30,9 @@
 TRANSFER_TIMEOUT_SECONDS = 5.0
 # Time for the response of a long poll, in addition to the time that the store waits.
 LONG_POLL_MARGIN_SECONDS = 0.3
+# Counts how often the store came back from a backup; its versions are then lower and
+# are given out again. A store without the header is in era 0.
+_ERA_HEADER = b"store-era"
 # All rows are in one part of the store, because a transaction covers only one part.
 _PART = ""
 
@@ -42,10 +45,13 @@
         self._pool = pool
 
     async def read(self, table: str) -> TableDelta | StoreFailed:
-        """Return all rows of ``table``, with the version of the first page."""
+        """Return all rows of ``table``, with the version of the first page.
+
+        Fails if the store is restored between two pages.
+        """
         rows: dict[str, StoredRow] = {}
         query = {"table": table, "part": _PART}
-        version: int | None = None
+        version: StoreVersion | None = None
         while True:
             page = _decode_page(
                 await self._get("/v1/rows-get", query, READ_TIMEOUT_SECONDS)
@@ -56,6 +62,8 @@
             # Later pages may be newer. Polling for changes after the version of the
             # first page returns the rows that changed in between.
             version = page.delta.version if version is None else version
+            if page.delta.version.era != version.era:
+                return StoreFailed(reason="restored", may_be_committed=False)
             if not page.has_more or not page.delta.rows:
                 all_rows = tuple(rows.values())
                 return TableDelta(rows=all_rows, version=version, whole=True)
@@ -63,12 +71,12 @@
             query["from"] = page.delta.rows[-1].key + "\0"
 
     async def changes(
-        self, table: str, *, after: int, wait: float
+        self, table: str, *, after: StoreVersion, wait: float
     ) -> TableDelta | HistoryGone | StoreFailed:
         """Return changes after version ``after``; wait up to ``wait`` seconds."""
         query = {
             "table": table,
-            "after": str(after),
+            "after": str(after.number),
             "watchWaitMs": str(int(wait * 1000)),
         }
         result = await self._get(
@@ -77,7 +85,9 @@
         if isinstance(result, HttpResponse) and result.status == 410:
             return HistoryGone()
         page = _decode_page(result)
-        return page if isinstance(page, StoreFailed) else page.delta
+        if isinstance(page, StoreFailed):
+            return page
+        return page.delta if page.delta.version.era == after.era else HistoryGone()
 
     async def write(
         self, table: str, writes: Sequence[ConditionalWrite]
@@ -88,7 +98,10 @@
             return {"table": table, "part": _PART, "key": write.key, **extra}
 
         body = {
-            "precondition": [row(write, ver=write.expected) for write in writes],
+            "precondition": [
+                row(write, ver=write.expected.number if write.expected else 0)
+                for write in writes
+            ],
             "writes": [
                 row(write, value=base64.b64encode(write.value).decode())
                 for write in writes
@@ -143,9 +156,10 @@
     if isinstance(result, ExchangeFailed) or result.status != 200:
         return _store_failure(result)
     try:
+        era = _decode_era(result)
         document = json.loads(result.body)
-        version = fields.integer(document, "ver")
-        delta = TableDelta(rows=_decode_rows(document), version=version)
+        version = StoreVersion(era=era, number=fields.integer(document, "ver"))
+        delta = TableDelta(rows=_decode_rows(document, era), version=version)
         return _Page(delta=delta, has_more=bool(document.get("hasMore", False)))
     except (fields.MalformedError, ValueError) as error:
         return StoreFailed(reason=f"malformed: {error}", may_be_committed=False)
@@ -155,25 +169,33 @@
     result: HttpResponse,
 ) -> WriteDone | WriteConflict | StoreFailed:
     try:
+        era = _decode_era(result)
         document = json.loads(result.body)
         if result.status == 412:
-            return WriteConflict(rows=_decode_rows(document))
-        return WriteDone(version=fields.integer(document, "ver"))
+            return WriteConflict(rows=_decode_rows(document, era), era=era)
+        number = fields.integer(document, "ver")
+        return WriteDone(version=StoreVersion(era=era, number=number))
     except (fields.MalformedError, ValueError) as error:
         return StoreFailed(reason=f"malformed: {error}", may_be_committed=True)
 
 
-def _decode_rows(document: Any) -> tuple[StoredRow, ...]:
+def _decode_era(response: HttpResponse) -> int:
+    """Return the era in ``response``; ValueError if the header is no integer."""
+    return int(response.header(_ERA_HEADER) or 0)
+
+
+def _decode_rows(document: Any, era: int) -> tuple[StoredRow, ...]:
     entries = document.get("rows") if isinstance(document, dict) else None
     if not isinstance(entries, list):
         raise fields.MalformedError("rows is not a list")
     # The store lists a row that does not exist with version 0.
-    return tuple(row for row in map(_decode_row, entries) if row.version > 0)
+    rows = (_decode_row(entry, era) for entry in entries)
+    return tuple(row for row in rows if row.version.number > 0)
 
 
-def _decode_row(entry: Any) -> StoredRow:
+def _decode_row(entry: Any, era: int) -> StoredRow:
     deleted = bool(entry.get("deleted", False)) if isinstance(entry, dict) else False
-    version = fields.integer(entry, "ver")
+    version = StoreVersion(era=era, number=fields.integer(entry, "ver"))
     value = entry.get("value")
     has_value = isinstance(value, str) and not deleted
     return StoredRow(
--- a/tests/lib/retry_world.py
+++ b/tests/lib/retry_world.py
@@ -29,6 +29,7 @@
 )
 from cassiasail._internal.state.hosts import HostRecord, TargetState
 from cassiasail._internal.state.mesh_config import MeshConfig, WeightedService
+from cassiasail._internal.state.table_mirror import StoreVersion
 from cassiasail.platform.requests import TARGET_CODEC
 from tests.lib.events import null_event_log
 from tests.lib.meshes import ONE, ROUTE, TWO, config_of
@@ -233,7 +234,7 @@
             random=self.random,
         )
         for version, record in enumerate(self.records, 1):
-            fleet.update(record, version)
+            fleet.update(record, StoreVersion(era=0, number=version))
         return RequestRouter(
             config=self._config,
             fleet=fleet,
--- a/tests/unit/mesh/test_entry.py
+++ b/tests/unit/mesh/test_entry.py
@@ -54,6 +54,7 @@
 from devtools.virtual_loop import VirtualLoop
 from tests.lib.events import null_event_log
 from tests.lib.meshes import ONE, ROUTE, config_of
+from tests.lib.store_versions import at
 
 UNSAFE = replace(ROUTE, retry_safety=RetrySafety.UNSAFE)
 ANSWERED = HostReply(
@@ -103,7 +104,7 @@
         random=Random(1),
     )
     for version, each in enumerate(records, 1):
-        fleet.update(each, version)
+        fleet.update(each, at(version))
     return fleet
 
 
@@ -390,8 +391,8 @@
 
     def restart(fleet: Fleet) -> None:
         fleet.view_by_host["one"].suspected = True
-        fleet.update(replace(one, state=TargetState.SUSPENDED), 8)
-        fleet.update(one, 9)
+        fleet.update(replace(one, state=TargetState.SUSPENDED), at(8))
+        fleet.update(one, at(9))
         fleet.remove("other")
 
     fleet = fleet_of(one, other)
@@ -438,8 +439,8 @@
     successor = replace(record("zz"), address=former.address)
     assert set(fleet_of(former, successor).view_by_host) == {"zz"}
     fleet = fleet_of()
-    fleet.update(successor, 9)
-    fleet.update(former, 3)
+    fleet.update(successor, at(9))
+    fleet.update(former, at(3))
     assert set(fleet.view_by_host) == {"zz"}
 
 
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -23,12 +23,14 @@
 from cassiasail._internal.state.mesh_config import ClientLimits
 from cassiasail._internal.state.table_mirror import (
     StoredRow,
+    StoreVersion,
     TableDelta,
     TableMirror,
 )
 from cassiasail._internal.transport.http1.pool import ConnectionPool
 from cassiasail._internal.transport.http1.server import HttpServer
 from tests.lib.events import null_event_log
+from tests.lib.store_versions import at
 
 TIMES = FollowTimes(wait=0.2, max_age=0.5)
 FAILED = StoreFailed(reason="down", may_be_committed=False)
@@ -53,7 +55,7 @@
 
     def put(self, key: str, value: bytes) -> None:
         self.version += 1
-        self.row_by_key[key] = StoredRow(key=key, value=value, version=self.version)
+        self.row_by_key[key] = StoredRow(key=key, value=value, version=at(self.version))
 
     def drop_history(self) -> None:
         self.history_start = self.version
@@ -69,21 +71,21 @@
         if self.stale is not None:
             return self.stale
         rows = tuple(self.row_by_key.values())
-        return TableDelta(rows=rows, version=self.version, whole=True)
+        return TableDelta(rows=rows, version=at(self.version), whole=True)
 
     async def changes(
-        self, table: str, *, after: int, wait: float
+        self, table: str, *, after: StoreVersion, wait: float
     ) -> TableDelta | HistoryGone | StoreFailed:
         self.request_count += 1
         deadline = asyncio.get_running_loop().time() + wait
         while True:
             if self.down:
                 return FAILED
-            if after < self.history_start:
+            if after.number < self.history_start:
                 return HistoryGone()
             rows = tuple(row for row in self.row_by_key.values() if row.version > after)
             if rows or asyncio.get_running_loop().time() >= deadline:
-                return TableDelta(rows=rows, version=self.version)
+                return TableDelta(rows=rows, version=at(self.version))
             await asyncio.sleep(0.005)
 
     async def write(
@@ -395,32 +397,36 @@
     asyncio.run(main())
 
 
+def mirror_of(applied_rows: list[StoredRow]) -> TableMirror:
+    return TableMirror(changed=applied_rows.append, restored=lambda old, new: None)
+
+
 def test_deleted_rows_are_sent_to_a_follower_that_is_behind() -> None:
     """Guards against a follower that keeps a row which was deleted."""
-    mirror = TableMirror(changed=lambda row: None)
-    first = StoredRow(key="a", value=b"1", version=1)
-    mirror.apply(TableDelta(rows=(first,), version=1, whole=True))
-    deleted_row = StoredRow(key="a", value=b"", version=2, deleted=True)
-    mirror.apply(TableDelta(rows=(deleted_row,), version=2))
-    assert mirror.since(1).rows == (deleted_row,)
-    assert mirror.since(0) == TableDelta(rows=(), version=2, whole=True)
+    mirror = mirror_of([])
+    first = StoredRow(key="a", value=b"1", version=at(1))
+    mirror.apply(TableDelta(rows=(first,), version=at(1), whole=True))
+    deleted_row = StoredRow(key="a", value=b"", version=at(2), deleted=True)
+    mirror.apply(TableDelta(rows=(deleted_row,), version=at(2)))
+    assert mirror.since(at(1)).rows == (deleted_row,)
+    assert mirror.since(at(0)) == TableDelta(rows=(), version=at(2), whole=True)
 
 
 def test_whole_table_deletes_the_rows_it_lacks() -> None:
     """Guards against deleted rows that remain after a read of the whole table."""
     applied_rows: list[StoredRow] = []
-    mirror = TableMirror(changed=applied_rows.append)
-    row = StoredRow(key="a", value=b"1", version=1)
-    mirror.apply(TableDelta(rows=(row,), version=1, whole=True))
-    mirror.apply(TableDelta(rows=(), version=5, whole=True))
+    mirror = mirror_of(applied_rows)
+    row = StoredRow(key="a", value=b"1", version=at(1))
+    mirror.apply(TableDelta(rows=(row,), version=at(1), whole=True))
+    mirror.apply(TableDelta(rows=(), version=at(5), whole=True))
     assert applied_rows[-1].deleted
-    assert not mirror.apply(TableDelta(rows=(row,), version=4))
+    assert not mirror.apply(TableDelta(rows=(row,), version=at(4)))
 
 
 def test_replies_round_trip_and_malformed_ones_are_rejected() -> None:
     """Guards against rows that are lost or changed between daemons."""
-    row = StoredRow(key="a", value=b"\x00\xff", version=7)
-    delta = TableDelta(rows=(row,), version=9, whole=True)
+    row = StoredRow(key="a", value=b"\x00\xff", version=at(7, era=3))
+    delta = TableDelta(rows=(row,), version=at(9, era=3), whole=True)
     reply = table_sync.SyncReply(delta=delta, age=float("inf"))
     assert table_sync.decode_reply(table_sync.encode_reply(reply)) == reply
     assert table_sync.decode_reply(HttpResponse(status=200, body=b"x")) is None
--- a/tests/unit/mesh/test_pruning.py
+++ b/tests/unit/mesh/test_pruning.py
@@ -23,6 +23,7 @@
 from cassiasail._internal.state.hosts import TargetState
 from devtools.virtual_loop import VirtualLoop
 from tests.lib.events import null_event_log
+from tests.lib.store_versions import at
 from tests.unit.mesh.test_entry import fleet_of, record
 
 UNREACHABLE = ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
@@ -49,9 +50,11 @@
         )
 
     async def write(self, table: str, writes: Sequence[ConditionalWrite]) -> WriteDone:
-        self.removed += [(each.key, each.expected) for each in writes]
+        self.removed += [
+            (each.key, each.expected.number) for each in writes if each.expected
+        ]
         assert all(each.value is None for each in writes)
-        return WriteDone(version=99)
+        return WriteDone(version=at(99))
 
 
 def records_removed_after_timeout(
--- a/tests/unit/mesh/test_registration.py
+++ b/tests/unit/mesh/test_registration.py
@@ -140,6 +140,13 @@
     assert registration.receive(HEARTBEAT) is HeartbeatVerdict.STALE
 
 
+def test_older_record_does_not_return_a_target_that_left() -> None:
+    """Guards against a target that is ready again in a restored copy of the store."""
+    registration = new_registration()
+    registration.restore(record_of(TargetState.LEAVING))
+    assert registration.restore(record_of(TargetState.READY)) is None
+
+
 def test_stored_leaving_record_overrides_an_earlier_heartbeat() -> None:
     """Guards against a late heartbeat that arrived before the store was read."""
     registration = new_registration()
--- a/tests/unit/mesh/test_sync_sources.py
+++ b/tests/unit/mesh/test_sync_sources.py
@@ -10,6 +10,7 @@
 from cassiasail._internal.ids import DataCentre, Region
 from cassiasail._internal.protocol.exchanges import Address
 from cassiasail._internal.state.hosts import HostRecord
+from tests.lib.store_versions import at
 from tests.unit.mesh.test_entry import record
 from tests.unit.mesh.test_following import NO_PEERS, FakeStore, Node
 
@@ -44,7 +45,7 @@
         random=Random(1),
     )
     for version, each in enumerate(records, 1):
-        fleet.update(each, version)
+        fleet.update(each, at(version))
     return fleet.sync_sources()
 
 
--- a/tests/unit/platform_adapter/test_table_store.py
+++ b/tests/unit/platform_adapter/test_table_store.py
@@ -22,6 +22,7 @@
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
 from cassiasail._internal.state.table_mirror import StoredRow, TableDelta
 from cassiasail.platform.table_store import TableStore
+from tests.lib.store_versions import at
 
 ROW = {"table": "t", "part": "", "key": "k", "value": "dg==", "ver": 3}
 
@@ -45,9 +46,12 @@
         return self.responses.pop(0)
 
 
-def page(*rows: dict[str, Any], ver: int = 9, more: bool = False) -> HttpResponse:
+def page(
+    *rows: dict[str, Any], ver: int = 9, more: bool = False, era: str | None = None
+) -> HttpResponse:
     body = json.dumps({"rows": rows, "hasMore": more, "ver": ver, "nowMs": 1})
-    return HttpResponse(status=200, body=body.encode())
+    headers = () if era is None else ((b"store-era", era.encode()),)
+    return HttpResponse(status=200, headers=headers, body=body.encode())
 
 
 def store(*results: HttpResponse | ExchangeFailed) -> tuple[TableStore, FakePool]:
@@ -65,10 +69,10 @@
     # changed while the pages were read.
     assert result == TableDelta(
         rows=(
-            StoredRow(key="k", value=b"v", version=3),
-            StoredRow(key="l", value=b"v", version=11),
+            StoredRow(key="k", value=b"v", version=at(3)),
+            StoredRow(key="l", value=b"v", version=at(11)),
         ),
-        version=9,
+        version=at(9),
         whole=True,
     )
     assert b"from=k%00" in pool.requests[1].target
@@ -77,7 +81,7 @@
 def test_changes_include_deleted_rows() -> None:
     """Guards against keeping rows that were deleted in the store."""
     tables, pool = store(page({**ROW, "deleted": True}))
-    result = asyncio.run(tables.changes("t", after=2, wait=1.5))
+    result = asyncio.run(tables.changes("t", after=at(2), wait=1.5))
     assert isinstance(result, TableDelta)
     assert result.rows[0].deleted
     assert not result.whole
@@ -87,20 +91,50 @@
 def test_status_410_means_that_history_is_gone() -> None:
     """Guards against skipped changes when the store has dropped old history."""
     tables, _ = store(HttpResponse(status=410))
-    result = asyncio.run(tables.changes("t", after=2, wait=1))
+    result = asyncio.run(tables.changes("t", after=at(2), wait=1))
     assert isinstance(result, HistoryGone)
 
 
+def test_versions_have_the_era_of_their_response() -> None:
+    """Guards against versions of a restored store that count as those before it."""
+    tables, _ = store(page(ROW, era="2"))
+    result = asyncio.run(tables.read("t"))
+    assert isinstance(result, TableDelta)
+    assert result.version == at(9, era=2)
+    assert result.rows[0].version == at(3, era=2)
+
+
+def test_restore_between_two_pages_is_a_failure() -> None:
+    """Guards against a table that is put together from two states of the store."""
+    tables, _ = store(page(ROW, more=True, era="1"), page(ROW, era="2"))
+    assert isinstance(asyncio.run(tables.read("t")), StoreFailed)
+
+
+@pytest.mark.parametrize("era", ["1", "3"])
+def test_changes_of_another_era_mean_that_history_is_gone(era: str) -> None:
+    """Guards against changes that continue another state of the store."""
+    tables, _ = store(page(ROW, era=era))
+    result = asyncio.run(tables.changes("t", after=at(2, era=2), wait=1))
+    assert isinstance(result, HistoryGone)
+
+
+def test_malformed_era_is_a_failure() -> None:
+    """Guards against a copy that replaces all others because of an unreadable era."""
+    tables, _ = store(page(ROW, era="x"))
+    assert isinstance(asyncio.run(tables.read("t")), StoreFailed)
+
+
 def test_write_sends_its_conditions() -> None:
     """Guards against a write that overwrites a newer row."""
     tables, pool = store(HttpResponse(status=200, body=b'{"ver": 12, "nowMs": 1}'))
     writes = [
-        ConditionalWrite(key="k", value=b"v", expected=3),
-        ConditionalWrite(key="l", value=None, expected=4),
+        ConditionalWrite(key="k", value=b"v", expected=at(3)),
+        ConditionalWrite(key="l", value=None, expected=at(4)),
+        ConditionalWrite(key="m", value=b"", expected=None),
     ]
-    assert asyncio.run(tables.write("t", writes)) == WriteDone(version=12)
+    assert asyncio.run(tables.write("t", writes)) == WriteDone(version=at(12))
     body = json.loads(pool.requests[0].body)
-    assert [row["ver"] for row in body["precondition"]] == [3, 4]
+    assert [row["ver"] for row in body["precondition"]] == [3, 4, 0]
     assert base64.b64decode(body["writes"][0]["value"]) == b"v"
     assert [row["key"] for row in body["remove"]] == ["l"]
 
@@ -110,10 +144,10 @@
     absent = {**ROW, "key": "gone", "ver": 0, "value": None}
     body = json.dumps({"rows": [ROW, absent], "ver": 9}).encode()
     tables, _ = store(HttpResponse(status=412, body=body))
-    writes = [ConditionalWrite(key="k", value=b"x", expected=1)]
+    writes = [ConditionalWrite(key="k", value=b"x", expected=at(1))]
     result = asyncio.run(tables.write("t", writes))
-    row = StoredRow(key="k", value=b"v", version=3)
-    assert result == WriteConflict(rows=(row,))
+    row = StoredRow(key="k", value=b"v", version=at(3))
+    assert result == WriteConflict(rows=(row,), era=0)
 
 
 @pytest.mark.parametrize(
