Take the copy of a build without eras for one of the first era

Cause: the platform sends Store-Era 1 before any restore. A reply of an earlier build, which has no era, counted as era 0 and was always behind: beside earlier builds a daemon had no sync source but the store, which most VMs read only once their copy is stale.

Change: a reply without an era is taken for one of the era in which the daemon got its first copy, so earlier builds are followed as before until the store is restored, and then no longer. A source whose own copy has no era doesn't compare eras.

--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -197,6 +197,9 @@
         self._mirror = TableMirror(changed=changed, restored=self._copy_replaced)
         self._loop = asyncio.get_running_loop()
         self._backoffs = _SourceBackoffs(random)
+        # Era that a copy of a build without eras is taken for: the one in which this
+        # daemon started. After a restore such a copy is therefore not applied.
+        self._default_era = 0
         self._confirmed_at = float("-inf")
         self._wake_event = asyncio.Event()
         # None is the store.
@@ -352,7 +355,10 @@
 
     def _copy_replaced(self, old: StoreVersion, new: StoreVersion) -> None:
         """Report that the first copy of a later era is going to replace this one."""
-        if self.first_copy_read.is_set():
+        if old.era == 0:
+            # The first copy, or the first one that came from a build with eras.
+            self._default_era = new.era
+        else:
             self._events.write(
                 "store_restored",
                 table=self._table,
@@ -377,7 +383,9 @@
             if self._stopped:
                 empty = TableDelta(rows=(), version=NO_VERSION)
                 return SyncReply(delta=empty, age=float("inf"))
-            era = self._mirror.version.era if query.era is None else query.era
+            own_era = self._mirror.version.era
+            # One of both may come from a build that knows no eras.
+            era = query.era if query.era is not None and own_era > 0 else own_era
             delta = self._mirror.since(StoreVersion(era=era, number=query.after))
             remaining = deadline - self._loop.time()
             if self.first_copy_read.is_set():
@@ -386,7 +394,7 @@
                 # power loss all daemons start together and must not all read the store
                 # over one narrow link.
                 remaining = min(remaining, self._times.max_age - self.age)
-                if era != self._mirror.version.era:
+                if era != own_era:
                     remaining = 0.0
             if delta.rows or remaining <= 0:
                 return SyncReply(delta=delta, age=self.age)
@@ -433,7 +441,8 @@
             if not result.sent and self.first_copy_read.is_set():
                 self._unreachable(source)
             return _PollFailed(reason=result.reason.value)
-        return table_sync.decode_reply(result) or _PollFailed(reason="malformed")
+        reply = table_sync.decode_reply(result, default_era=self._default_era)
+        return reply or _PollFailed(reason="malformed")
 
     async def _poll_store(self, wait: float) -> SyncReply | _PollFailed:
         result: TableDelta | HistoryGone | StoreFailed = HistoryGone()
--- a/src/cassiasail/_internal/protocol/table_sync.py
+++ b/src/cassiasail/_internal/protocol/table_sync.py
@@ -90,11 +90,11 @@
     )
 
 
-def decode_reply(response: HttpResponse) -> SyncReply | None:
+def decode_reply(response: HttpResponse, *, default_era: int) -> SyncReply | None:
     """Return the reply in ``response``, None if it is malformed or an error.
 
-    A reply of a build that knows no eras counts as one of era 0, so it never replaces
-    a copy of a later one.
+    A reply without an era, or with era 0, counts as one of ``default_era``: its copy
+    comes from a build that knows no eras.
     """
     if response.status != 200:
         return None
@@ -103,7 +103,7 @@
         body = decompressor.decompress(response.body, MAX_TABLE_BYTES)
         if not decompressor.eof:
             return None
-        era = int(response.header(_ERA_HEADER) or 0)
+        era = int(response.header(_ERA_HEADER) or 0) or default_era
         version, whole, age_ms, rows = cbor2.loads(body)
         delta = TableDelta(
             rows=tuple(_decode_row(era, *each) for each in rows),
--- a/src/cassiasail/_internal/state/table_mirror.py
+++ b/src/cassiasail/_internal/state/table_mirror.py
@@ -13,7 +13,8 @@
     """Orders the states of the store, also across its restores from a backup.
 
     ``number`` rises with each transaction. A restore sets it back, and the numbers
-    behind it are given out again; ``era`` counts the restores.
+    behind it are given out again; ``era`` rises by one with each restore. Era 0 is not
+    known: the store or the daemon that the copy came from doesn't send it.
     """
 
     era: int
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -30,8 +30,8 @@
 TRANSFER_TIMEOUT_SECONDS = 5.0
 # Time for the response of a long poll, in addition to the time that the store waits.
 LONG_POLL_MARGIN_SECONDS = 0.3
-# Counts how often the store came back from a backup; its versions are then lower and
-# are given out again. A store without the header is in era 0.
+# Rises by one each time the store comes back from a backup; its versions are then lower
+# and are given out again.
 _ERA_HEADER = b"store-era"
 # All rows are in one part of the store, because a transaction covers only one part.
 _PART = ""
