Restore the store from a backup in the soak

Cause: no test restored the store, so a whole class of faults was never met. Change: the fault store_restored takes the store down and returns it from a backup up to 9 s old; the operator writes its newest configuration again within a second.

--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -16,6 +16,10 @@
 GRACE_SECONDS = 6.0
 # Time between the acknowledged drain of a target and its removal.
 DRAIN_WAIT_SECONDS = 2.6
+# Greatest age of the backup from which the store is restored.
+MAX_BACKUP_AGE_SECONDS = 9.0
+# Longest time until the operator writes again what the backup lacks.
+MAX_REWRITE_SECONDS = 1.0
 FAULTY_LINK_MODES = (
     LinkMode.DELAYED,
     LinkMode.RESET,
@@ -153,6 +157,19 @@
     world.store.drop_history()
 
 
+async def store_restored(world: SoakWorld, vm: SoakVm, seconds: float) -> None:
+    """Take the store down and restore it from a backup some seconds old."""
+    age_seconds = world.fault_random.uniform(0, MAX_BACKUP_AGE_SECONDS)
+    rewrite_seconds = world.fault_random.uniform(0, MAX_REWRITE_SECONDS)
+    with world.unplanned_fault():
+        world.store.down = True
+        await asyncio.sleep(seconds)
+        world.store.restore(age_seconds)
+        world.store.down = False
+        await asyncio.sleep(rewrite_seconds)
+        world.write_configuration()
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_daemon,
     kill_daemon,
@@ -175,6 +192,8 @@
     store_fault("delay", 0.4, 0.0),
     store_fault("drops_responses", True, False),
     drop_store_history,
+    store_restored,
+    store_restored,
 )
 
 
--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -150,6 +150,10 @@
     def change_configuration(self) -> None:
         """Write the next version; each one adds a route."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the newest version, also if the store had it before."""
         routes: dict[str, Any] = {service: route(service) for service in SERVICES}
         routes["orders"] = route("one", prefix="/orders/", kind="unsafe")
         for version in range(1, self.version + 1):
