--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -20,6 +20,9 @@
 GRACE_SECONDS = 6.0
 # Time between the acknowledged drain of a target and its removal.
 DRAIN_WAIT_SECONDS = 2.6
+# Ages of the backup from which the store is restored, and times after which the
+# operator writes again what the backup lacks, in seconds.
+BACKUPS = tuple(product((0.5, 3.0, 6.0, 9.0), (0.0, 0.3, 1.0)))
 FAULTY_LINK_MODES = (
     LinkMode.DELAYED,
     LinkMode.RESET,
@@ -226,6 +229,24 @@
     world.store.drop_history()
 
 
+async def store_restored(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, backup: tuple[float, float]
+) -> None:
+    """Take the store down and restore it from a backup some seconds old.
+
+    ``backup`` has its age and how long after the restore the operator writes the
+    newest configuration again, in seconds.
+    """
+    age_seconds, rewrite_seconds = backup
+    with world.unplanned_fault():
+        world.store.down = True
+        await asyncio.sleep(seconds)
+        world.store.restore(age_seconds)
+        world.store.down = False
+        await asyncio.sleep(rewrite_seconds)
+        world.write_configuration()
+
+
 # Each kind is listed as often as it is likely.
 PLANNED_FAULTS: tuple[FaultKind, ...] = (
     *[
@@ -275,6 +296,14 @@
     FaultKind(run=store_fault("down", True, False)),
     FaultKind(run=store_fault("delay", 0.4, 0.0)),
     FaultKind(run=store_fault("drops_responses", True, False)),
+    *[
+        FaultKind(
+            run=store_restored,
+            options=BACKUPS,
+            more_seconds=1.0,
+        )
+    ]
+    * 2,
 )
 
 
--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -155,6 +155,10 @@
     def change_configuration(self) -> None:
         """Write the next version; each one adds a route."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the newest version, also if the store had it before."""
         routes: dict[str, Any] = {service: route(service) for service in SERVICES}
         routes["orders"] = route("one", prefix="/orders/", kind="unsafe")
         routes["long"] = route("one", prefix="/long/", timeoutMs=LONG_TIMEOUT_MS)
--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -192,6 +192,8 @@
             and unconfirmed.start_time_ms >= record.start_time_ms
         ):
             return None
+        if incarnation in self._ended_incarnations:
+            return None
         self._unconfirmed = TargetHeartbeat(
             target=record.target,
             start_time_ms=record.start_time_ms,
--- a/tests/unit/test_soak_schedule.py
+++ b/tests/unit/test_soak_schedule.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from devtools.soak.faults import FAULTS
 from devtools.soak.schedule import MAX_OVERLAPPING, draw_schedule
 
 SEEDS = range(1, 30)
@@ -44,4 +45,4 @@
 def test_seeds_together_draw_every_kind() -> None:
     """Guards against a kind of fault that no soak ever tries."""
     names = {line.split()[1] for seed in SEEDS for line in lines(seed)}
-    assert len(names) == 14
+    assert names == {kind.name for kind in FAULTS}
