--- a/tests/functional/sidecar/test_silent_machines.py
+++ b/tests/functional/sidecar/test_silent_machines.py
@@ -9,7 +9,8 @@
 
 from cassiasail._internal.protocol.exchanges import Address, ExchangeFailed
 from cassiasail._internal.protocol.http1 import HttpResponse
-from devtools.platform_stand_in import HOST, PlatformStore, Sidecar, free_port, route
+from devtools.platform_stand_in import HOST, PlatformStore, Sidecar, route
+from devtools.reservations import reserve_port
 from devtools.soak.proxy import LinkMode, LoopbackProxy
 from tests.lib.sidecar_mesh import (
     HeldRequests,
@@ -104,7 +105,7 @@
 
     def sidecars(store: PlatformStore) -> list[Sidecar]:
         one, two = plain_sidecars("one", "two")(store)
-        one.store_address = Address(HOST, free_port())
+        one.store_address = Address(HOST, reserve_port())
         links.append(LoopbackProxy(listen=one.store_address, server=store.address))
         return [one, two]
 
--- a/tests/lib/sidecar_mesh.py
+++ b/tests/lib/sidecar_mesh.py
@@ -21,9 +21,9 @@
     PlatformStore,
     Sidecar,
     configuration,
-    free_port,
     route,
 )
+from devtools.reservations import reserve_port
 from devtools.soak.proxy import LoopbackProxy
 
 # Daemons listen on their port of ``HOST``, a proxy on the same port of this address.
@@ -248,7 +248,7 @@
         self.name = name
         self._service = service
         self._handle = handle
-        self.address = Address(HOST, free_port())
+        self.address = Address(HOST, reserve_port())
         self.server = RawServer(address=self.address, handle=self._handle_or_refuse)
 
     def publish(self, store: PlatformStore, *, slots: int = 4) -> None:
