Split the HTTP server into listener, connection and partial request

Change: server.py has the listener, server_connection.py one connection, partial_request.py a request that is being read with its checks, and send_queue.py the bytes that a peer has not acknowledged.

--- /dev/null
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -0,0 +1,377 @@
+"""Server side of an HTTP/1.1 connection: requests, responses in order, orderly close.
+
+Pipelined requests run concurrently if their method is safe; the responses keep the
+order of the requests. After a response with ``Connection: close``, no further request
+of the connection is started.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import httptools
+
+from ... import metrics
+from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_response
+from .partial_request import PartialRequest, RejectedError
+from .send_queue import unacknowledged_bytes
+
+if TYPE_CHECKING:
+    from .server import HttpServer
+
+logger = logging.getLogger(__name__)
+
+# Requests of one connection that may be without a response; reading pauses at this
+# number.
+MAX_PIPELINED = 16
+# After the last response, the connection is still read for this long, and as often
+# again while the client receives it. Otherwise late bytes of the client could reset the
+# connection before that response has arrived.
+LINGERING_CLOSE_SECONDS = 1.0
+SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@dataclass(slots=True, kw_only=True)
+class _Exchange:
+    """A complete request and, once it is done, its response."""
+
+    request: HttpRequest
+    keep_alive: bool
+    # Holds the memory for the body; None for a request that was rejected.
+    partial: PartialRequest | None = None
+    task: "asyncio.Task[None] | None" = None
+    response: HttpResponse | None = None
+    done: bool = False
+
+    def release_memory(self) -> None:
+        """Release the memory for the body of the request."""
+        if self.partial is not None:
+            self.partial.release_memory()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnansweredRequest:
+    """A complete request whose response was not written yet.
+
+    ``position`` is the number of requests before it on its connection that are not
+    answered either. ``has_response`` is true if its response waits only for theirs.
+    """
+
+    request: HttpRequest
+    position: int
+    has_response: bool
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a client."""
+
+    def __init__(self, *, server: "HttpServer") -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._exchanges: deque[_Exchange] = deque()
+        self._partial: PartialRequest | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._closing = False
+        self._reading_paused = False
+        # As of the last check whether the client still receives its responses.
+        self._unacknowledged_bytes = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of complete requests whose response was not written yet."""
+        return len(self._exchanges)
+
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of response bytes that the client has not acknowledged."""
+        return 0 if self._transport is None else unacknowledged_bytes(self._transport)
+
+    def _client_receives(self) -> bool:
+        """Return whether the client acknowledged bytes since the last call.
+
+        False also if there are none that it has to acknowledge.
+        """
+        before = self._unacknowledged_bytes
+        self._unacknowledged_bytes = now = self.unacknowledged_bytes()
+        return now > 0 and now != before
+
+    def unanswered(self) -> Iterator[UnansweredRequest]:
+        """Yield the complete requests whose response was not written yet."""
+        for position, exchange in enumerate(self._exchanges):
+            yield UnansweredRequest(
+                request=exchange.request,
+                position=position,
+                has_response=exchange.done,
+            )
+
+    def answer_unfinished(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
+        """Answer the started requests now; see ``HttpServer.answer_unfinished``."""
+        for exchange in self._exchanges:
+            if exchange.task is not None and not exchange.done:
+                exchange.task.cancel()
+                exchange.response = respond(exchange.request)
+                exchange.done = True
+        self._write_finished()
+
+    # Callbacks of asyncio.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self._start_idle_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._closing = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._cancel_exchanges()
+
+    def eof_received(self) -> bool:
+        # A client that closes its connection no longer waits for responses.
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        # Behind the last request of the connection, bytes are ignored.
+        if self._closing or (self._exchanges and not self._exchanges[-1].keep_alive):
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The server supports no upgrade. The parser has delivered the request as
+            # a normal one, but accepts no further bytes on this connection.
+            if self._exchanges:
+                self._exchanges[-1].keep_alive = False
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if not isinstance(cause, RejectedError):
+                raise
+            self._reject(cause.status, cause.headers)
+        except httptools.HttpParserError:
+            # Bytes after a request with "Connection: close" are ignored.
+            if not (self._exchanges and not self._exchanges[-1].keep_alive):
+                self._reject(400)
+        else:
+            if self._partial is not None and self._partial.exceeds_header_limit(
+                len(data)
+            ):
+                self._reject(431)
+            self._start_body_timer()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        server = self._server
+        self._partial = PartialRequest(
+            arrived_at=self._loop.time(), limits=server.limits(), memory=server.memory
+        )
+        self._start_timer(server.limits().header_seconds, self._request_timed_out)
+
+    def on_url(self, url: bytes) -> None:
+        assert self._partial is not None
+        self._partial.add_target(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self._partial is not None
+        self._partial.add_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        partial = self._partial
+        assert partial is not None and self._transport is not None
+        partial.complete_header(http_version=self._parser.get_http_version())
+        expects_continue = any(
+            value.lower() == b"100-continue" for value in partial.values(b"expect")
+        )
+        if expects_continue and not self._exchanges:
+            self._transport.write(CONTINUE_RESPONSE)
+
+    def on_body(self, body: bytes) -> None:
+        assert self._partial is not None
+        self._partial.add_body(body)
+
+    def on_message_complete(self) -> None:
+        partial, self._partial = self._partial, None
+        assert partial is not None
+        request = partial.request(self._parser.get_method(), body=bytes(partial.body))
+        # ``partial`` stays as the holder of the memory until the response is written.
+        partial.body = bytearray()
+        keep_alive = self._parser.should_keep_alive()
+        self._exchanges.append(
+            _Exchange(request=request, keep_alive=keep_alive, partial=partial)
+        )
+        self._stop_timer()
+        self._start_runnable()
+        if len(self._exchanges) >= MAX_PIPELINED and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    # Responses.
+
+    def _start_runnable(self) -> None:
+        """Start the requests that may run now.
+
+        Safe requests run concurrently with earlier ones. Any other request waits until
+        it is the first, because an earlier response may close the connection.
+        """
+        for position, exchange in enumerate(self._exchanges):
+            if position and exchange.request.method not in SAFE_METHODS:
+                return
+            if exchange.task is None and not exchange.done:
+                exchange.task = self._loop.create_task(self._handle(exchange))
+
+    async def _handle(self, exchange: _Exchange) -> None:
+        """Run the handler; a failure of it becomes a response with status 500."""
+        try:
+            exchange.response = await self._server.handler(exchange.request)
+        except Exception:
+            logger.exception("request handler failed; responding with status 500")
+            exchange.response = HttpResponse(status=500)
+        exchange.done = True
+        self._write_finished()
+
+    def _write_finished(self) -> None:
+        """Write the responses that are due in order, then start the next requests."""
+        transport = self._transport
+        while self._exchanges and self._exchanges[0].done and transport is not None:
+            if self._closing:
+                return
+            exchange = self._exchanges.popleft()
+            exchange.release_memory()
+            if exchange.response is None:
+                transport.abort()
+                return
+            close = not exchange.keep_alive or (
+                self._server.draining and not self._exchanges and not self._partial
+            )
+            limits = self._server.limits()
+            transport.write(
+                encode_response(
+                    exchange.response,
+                    method=exchange.request.method,
+                    close=close,
+                    idle_seconds=limits.idle_seconds,
+                )
+            )
+            if close:
+                self.close_gracefully()
+                return
+        if self._closing:
+            return
+        self._start_runnable()
+        if self._reading_paused and len(self._exchanges) < MAX_PIPELINED:
+            self._reading_paused = False
+            assert transport is not None
+            transport.resume_reading()
+        self._start_idle_timer()
+
+    def _reject(self, status: int, headers: tuple[Header, ...] = ()) -> None:
+        """Respond with ``status`` after the pending responses, then close."""
+        if self._closing:
+            return
+        request = HttpRequest(method=b"GET", target=b"/", headers=())
+        exchange = _Exchange(request=request, keep_alive=False)
+        exchange.response = HttpResponse(status=status, headers=headers)
+        exchange.done = True
+        self._drop_partial()
+        self._exchanges.append(exchange)
+        self._stop_timer()
+        self._write_finished()
+
+    # Timeouts and closing.
+
+    def _start_timer(self, seconds: float, callback: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = self._loop.call_later(seconds, callback)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _start_idle_timer(self) -> None:
+        if not self._exchanges and self._partial is None and not self._closing:
+            self._start_timer(self._server.limits().idle_seconds, self._idle_timed_out)
+
+    def _idle_timed_out(self) -> None:
+        # A client that still receives a response is not idle.
+        if self._client_receives():
+            self._start_idle_timer()
+        else:
+            self.close_gracefully()
+
+    def _end_lingering(self) -> None:
+        """Close the connection once the client has all responses or takes no more.
+
+        From the close on nothing is read, and unread bytes would reset the connection.
+        """
+        if self._client_receives():
+            self._start_timer(LINGERING_CLOSE_SECONDS, self._end_lingering)
+        elif self._transport is not None and self._unacknowledged_bytes:
+            self._transport.abort()
+        elif self._transport is not None:
+            self._transport.close()
+
+    def _body_due_at(self, partial: PartialRequest) -> float:
+        """Return the loop time by which the whole body must have arrived."""
+        seconds = self._server.time_limit(
+            partial.request(self._parser.get_method(), body=b"")
+        )
+        if seconds is None:
+            return self._loop.time() + self._server.limits().idle_seconds
+        return partial.arrived_at + seconds
+
+    def _start_body_timer(self) -> None:
+        """Wait for the next part of an incomplete body, but not beyond its due time.
+
+        The idle timeout restarts with each part. Alone it would let a client hold a
+        connection and memory for hours by sending single bytes.
+        """
+        partial = self._partial
+        if partial is None or not partial.header_complete:
+            return
+        if partial.body_due_at is None:
+            partial.body_due_at = self._body_due_at(partial)
+        due_in = max(0.0, partial.body_due_at - self._loop.time())
+        idle_seconds = self._server.limits().idle_seconds
+        self._start_timer(min(idle_seconds, due_in), self._request_timed_out)
+
+    def _request_timed_out(self) -> None:
+        has_header = self._partial is not None and self._partial.header_complete
+        part = "body" if has_header else "header"
+        metrics.MESH_REQUESTS_TIMED_OUT.labels(part).inc()
+        self._reject(408)
+
+    def _drop_partial(self) -> None:
+        partial, self._partial = self._partial, None
+        if partial is not None:
+            partial.release_memory()
+
+    def _cancel_exchanges(self) -> None:
+        """Cancel requests whose response was not written yet."""
+        self._drop_partial()
+        for exchange in self._exchanges:
+            exchange.release_memory()
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._exchanges.clear()
+
+    def close_gracefully(self) -> None:
+        """Close the connection after the written bytes; discard what still arrives.
+
+        Cancels requests whose response was not written yet.
+        """
+        if self._closing or self._transport is None:
+            return
+        self._closing = True
+        self._cancel_exchanges()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        if self._reading_paused:
+            self._transport.resume_reading()
+        self._start_timer(LINGERING_CLOSE_SECONDS, self._end_lingering)
