Wait for a client that pauses reading as long as for an idle one

Callers saw: a response of 2 MB broke off with a reset connection, because the client read nothing for 3 s while the daemon was stopping.

Change: a client is given up after the idle timeout without progress. A new test checks that a client which never reads does not keep its connection.

--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -79,8 +79,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False
         self._reading_paused = False
-        # As of the last check whether the client still receives its responses.
+        # As of the last check whether the client still receives its responses, and the
+        # time at which a check last found a change.
         self._unacknowledged_bytes = 0
+        self._progress_at = 0.0
 
     @property
     def in_flight(self) -> int:
@@ -92,13 +94,16 @@
         return 0 if self._transport is None else unacknowledged_bytes(self._transport)
 
     def _client_receives(self) -> bool:
-        """Return whether the client acknowledged bytes since the last call.
+        """Return whether the client still has to acknowledge bytes and does so.
 
-        False also if there are none that it has to acknowledge.
+        A client that acknowledges none for the idle timeout takes no more.
         """
         before = self._unacknowledged_bytes
         self._unacknowledged_bytes = now = self.unacknowledged_bytes()
-        return now > 0 and now != before
+        if now != before:
+            self._progress_at = self._loop.time()
+        stalled_for = self._loop.time() - self._progress_at
+        return now > 0 and stalled_for < self._server.limits().idle_seconds
 
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the complete requests whose response was not written yet."""
--- a/tests/unit/mesh/test_http1_lost_responses.py
+++ b/tests/unit/mesh/test_http1_lost_responses.py
@@ -119,3 +119,22 @@
         return await reader.read(1000)
 
     assert statuses(converse(large_or_small, reuse_at_once)) == [200]
+
+
+def test_client_that_takes_nothing_does_not_keep_its_connection() -> None:
+    """Guards against connections and responses held without end for dead clients."""
+
+    async def main() -> None:
+        server = HttpServer(handler=large_or_small, limits=lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        client = socket.create_connection(("127.0.0.1", listening_port(server)))
+        client.sendall(GET)
+        async with asyncio.timeout(5):
+            while not server.connections:
+                await asyncio.sleep(0.01)
+            while server.connections:
+                await asyncio.sleep(0.05)
+        client.close()
+        await server.stop()
+
+    asyncio.run(main())
