Send followers the rows that a read of the whole table skipped

What callers saw: nothing yet, found in a review. A daemon keeps a VM that was removed.

Cause: a copy that was replaced by the whole table of the same era, because the store had dropped its history, doesn't know the rows that were written and deleted between both states. A follower with a state in between got changes without those deletions. The first copy of a later era was already excepted. Change: a follower whose version lies between the copies before and after a read of the whole table gets the whole table.

Result: test_rows_that_a_read_of_the_whole_table_skipped_are_deleted_at_followers failed before and passes; tests/unit/mesh pass.

--- a/src/cassiasail/_internal/state/table_mirror.py
+++ b/src/cassiasail/_internal/state/table_mirror.py
@@ -65,7 +65,11 @@
         self._restored = restored
         self._row_by_key: dict[str, StoredRow] = {}
         self._tombstone_by_key: dict[str, StoredRow] = {}
+        # Rows deleted up to this version may have no tombstone.
         self._last_dropped_version = NO_VERSION
+        # Version before and after the last whole table that was applied. Rows that were
+        # written and deleted between them are not known.
+        self._skipped_versions = (NO_VERSION, NO_VERSION)
         self.version = NO_VERSION
 
     def apply(self, delta: TableDelta) -> bool:
@@ -85,6 +89,7 @@
                 self._apply_row(
                     StoredRow(key=key, value=b"", version=delta.version, deleted=True)
                 )
+            self._skip_versions(delta.version)
         for row in delta.rows:
             self._apply_row(row)
         self.version = delta.version
@@ -94,13 +99,15 @@
         """Return the rows changed after ``version``.
 
         Returns the whole table if ``version`` is of an earlier era, its number is 0, or
-        a newer tombstone was dropped.
+        a newer tombstone was dropped or may be missing.
         """
         is_earlier_era = version.era < self.version.era
+        skipped_after, skipped_until = self._skipped_versions
         if (
             is_earlier_era
             or version.number <= 0
             or version < self._last_dropped_version
+            or skipped_after < version < skipped_until
         ):
             rows = tuple(self._row_by_key.values())
             return TableDelta(rows=rows, version=self.version, whole=True)
@@ -115,6 +122,12 @@
         # Rows that were deleted in this era before ``version`` are not known.
         self._last_dropped_version = version
 
+    def _skip_versions(self, until: StoreVersion) -> None:
+        """Record that the versions from this copy to ``until`` are not known."""
+        _, skipped_until = self._skipped_versions
+        self._last_dropped_version = max(self._last_dropped_version, skipped_until)
+        self._skipped_versions = (self.version, until)
+
     def _apply_row(self, row: StoredRow) -> None:
         known = self._row_by_key.get(row.key) or self._tombstone_by_key.get(row.key)
         if known is not None and row.version <= known.version:
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -423,6 +423,26 @@
     assert not mirror.apply(TableDelta(rows=(row,), version=at(4)))
 
 
+def test_rows_that_a_read_of_the_whole_table_skipped_are_deleted_at_followers() -> None:
+    """Guards against a row that outlives its deletion at a daemon that is behind.
+
+    The row was written and deleted between two states of the copy that it follows.
+    """
+    mirror, follower = mirror_of([]), mirror_of([])
+    kept = StoredRow(key="a", value=b"1", version=at(1))
+    skipped = StoredRow(key="b", value=b"1", version=at(2))
+    mirror.apply(TableDelta(rows=(kept,), version=at(1), whole=True))
+    mirror.apply(TableDelta(rows=(kept,), version=at(5), whole=True))
+    follower.apply(TableDelta(rows=(kept, skipped), version=at(2), whole=True))
+    assert follower.apply(mirror.since(follower.version))
+    assert follower.since(at(0)).rows == (kept,)
+    assert not mirror.since(at(1)).whole
+    mirror.apply(TableDelta(rows=(kept,), version=at(9), whole=True))
+    assert mirror.since(at(4)).whole
+    assert not mirror.since(at(5)).whole
+    assert mirror.since(at(8)).whole
+
+
 def test_replies_round_trip_and_malformed_ones_are_rejected() -> None:
     """Guards against rows that are lost or changed between daemons."""
     row = StoredRow(key="a", value=b"\x00\xff", version=at(7, era=3))
