Apply the removal of a suspended target

What callers saw: nothing yet, found in a review. Requests reach a target after its end was acknowledged.

Cause: the removal of a target that had missed its heartbeats was acknowledged but not applied, since the target was not the current one. A heartbeat from before the removal that came late put it back into service. Change: a suspended target is remembered, and its removal ends its incarnation.

Result: test_late_heartbeat_does_not_return_a_suspended_target_that_was_removed failed before (stale in place of applied) and passes, as do the others of tests/unit/mesh/test_registration.py.

--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -80,7 +80,8 @@
         self._changed = changed
         self._ended_incarnations: dict[Incarnation, None] = {}
         self._latest_start_time_ms = 0
-        self._suspended = False
+        # Latest heartbeat of a target that is out of service until its next one.
+        self._suspended: TargetHeartbeat | None = None
         self.current: TargetHeartbeat | None = None
 
     @property
@@ -141,8 +142,7 @@
         self._unconfirmed = None
         if heartbeat.leaving:
             self._mark_ended(heartbeat.incarnation)
-        self.current = heartbeat
-        self._suspended = False
+        self.current, self._suspended = heartbeat, None
         self._changed(heartbeat)
 
     def remove(self, target: TargetId, start_time_ms: int | None) -> HeartbeatVerdict:
@@ -150,13 +150,13 @@
 
         ``start_time_ms`` is None if the notice names no incarnation.
         """
-        current = self.current or self._unconfirmed
+        current = self.current or self._unconfirmed or self._suspended
         if current is None or current.target != target:
             return HeartbeatVerdict.STALE
         if start_time_ms is not None and start_time_ms != current.start_time_ms:
             return HeartbeatVerdict.STALE
         self._mark_ended(current.incarnation)
-        self.current = self._unconfirmed = None
+        self.current = self._unconfirmed = self._suspended = None
         self._changed(None)
         return HeartbeatVerdict.APPLIED
 
@@ -165,8 +165,7 @@
 
         Used for a target whose heartbeats expired or that crashed.
         """
-        self.current = None
-        self._suspended = True
+        self._suspended, self.current = self.current, None
         self._changed(None)
 
     def restore(self, record: HostRecord) -> TargetHeartbeat | None:
--- a/tests/unit/mesh/test_registration.py
+++ b/tests/unit/mesh/test_registration.py
@@ -122,6 +122,31 @@
     )
 
 
+def test_late_heartbeat_does_not_return_a_suspended_target_that_was_removed() -> None:
+    """Guards against a target in use again after its end was acknowledged."""
+    registration = new_registration()
+    registration.receive(replace(HEARTBEAT, sequence=7))
+    registration.suspend()
+    assert registration.remove(HEARTBEAT.target, 1000) is HeartbeatVerdict.APPLIED
+    assert registration.state is TargetState.ABSENT
+    assert (
+        registration.receive(replace(HEARTBEAT, sequence=6)) is HeartbeatVerdict.STALE
+    )
+    assert registration.state is TargetState.ABSENT
+
+
+def test_removal_of_another_incarnation_leaves_a_target_suspended() -> None:
+    """Guards against a late removal that ends the next incarnation."""
+    registration = new_registration()
+    registration.receive(HEARTBEAT)
+    registration.suspend()
+    assert registration.remove(HEARTBEAT.target, 500) is HeartbeatVerdict.STALE
+    assert registration.state is TargetState.SUSPENDED
+    assert (
+        registration.receive(replace(HEARTBEAT, sequence=9)) is HeartbeatVerdict.APPLIED
+    )
+
+
 def test_restarted_daemon_serves_its_suspended_target_again() -> None:
     """Guards against a daemon restart that takes the target out of service.
 
