Remember the removal of a target that the daemon doesn't know yet

What callers saw: nothing yet, found in a review. Requests reach a target after its end was acknowledged.

Cause: a daemon that had just started acknowledged the removal of its target and forgot it, because it had neither a heartbeat nor the stored record of the target. The record read afterwards, or a late heartbeat, brought the target back if it passed the health check until its end. Change: a removal that names the start of its target always ends that incarnation.

Result: test_removed_target_is_not_restored_from_a_stored_record failed before (the record was restored) and passes; tests/unit/mesh pass.

--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -150,6 +150,10 @@
 
         ``start_time_ms`` is None if the notice names no incarnation.
         """
+        if start_time_ms is not None:
+            # Also if it isn't known yet: late heartbeats and the record that an earlier
+            # incarnation of this daemon stored may follow.
+            self._mark_ended((target, start_time_ms))
         current = self.current or self._unconfirmed or self._suspended
         if current is None or current.target != target:
             return HeartbeatVerdict.STALE
--- a/tests/unit/mesh/test_registration.py
+++ b/tests/unit/mesh/test_registration.py
@@ -147,6 +147,17 @@
     )
 
 
+def test_removed_target_is_not_restored_from_a_stored_record() -> None:
+    """Guards against a target in use again that was removed before the store was read.
+
+    The daemon had started shortly before the removal and knew no target.
+    """
+    registration = new_registration(may_get_old_heartbeats=True)
+    registration.remove(HEARTBEAT.target, HEARTBEAT.start_time_ms)
+    assert registration.restore(record_of(TargetState.READY)) is None
+    assert registration.receive(HEARTBEAT) is HeartbeatVerdict.STALE
+
+
 def test_restarted_daemon_serves_its_suspended_target_again() -> None:
     """Guards against a daemon restart that takes the target out of service.
 
