Write a record again that was removed before the first copy

What callers saw: nothing yet, found in a review. A VM is found by no other one until its record changes again.

Cause: a daemon that has just started, or has just learnt of a restore, may know its row from the response to a write before it reads the first copy of that era. If the row is removed in between, no copy of the daemon ever had it, so no change reports the removal; the publisher compared only the era of the first copy and kept the row as stored. Change: it forgets the row if its version is below that of the copy.

Result: test_record_removed_before_the_first_copy_is_written_again failed before (one write in place of two) and passes; tests/unit/mesh pass.

--- a/src/cassiasail/_internal/coordination/mesh/publishing.py
+++ b/src/cassiasail/_internal/coordination/mesh/publishing.py
@@ -76,13 +76,13 @@
         self._set_stored(row.version, None if row.deleted else row.value)
 
     def observe_restore(self, version: StoreVersion) -> None:
-        """Forget the stored row: the store was restored and its first copy is read.
+        """Forget the stored row: the first copy of an era is read, at ``version``.
 
-        ``version`` is the version of that copy. ``observe`` is called afterwards if the
-        copy has the row. A row that was written shortly before the restore may have
-        been in no copy, so no other call reports that it is missing now.
+        ``observe`` is called afterwards if the copy has the row. A row that was lost by
+        a restore or removed before that copy may have been in no earlier one, so no
+        other call reports that it is missing now.
         """
-        if self._stored_version.era < version.era:
+        if self._stored_version < version:
             self._set_stored(StoreVersion(era=version.era, number=0), None)
 
     def _set_stored(self, version: StoreVersion, value: bytes | None) -> None:
