Split the sync sources from the follower of a table

Change: sync_sources.py has the order of sources and their backoff. Nothing else is changed.

Result: tests/unit/mesh passes; only imports of the tests changed.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -22,7 +22,7 @@
 from ...state.hosts import HostId, HostRecord, Incarnation, TargetState
 from ...state.table_mirror import StoreVersion
 from .admission import INITIAL_SERVICE_SECONDS, RunningMean
-from .following import SyncSources
+from .sync_sources import SyncSources
 
 # Traffic between data centres is billed by volume, and all traffic between two regions
 # shares one slow link. Costs of each kilobyte of a request and its response, in units
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -26,12 +26,15 @@
     TableDelta,
     TableMirror,
 )
-from .backoff import Backoff
 from .shared_tables import HistoryGone, SharedTables, StoreFailed
+from .sync_sources import (
+    FIRST_RETRY_DELAY_SECONDS,
+    RELAY_COUNT,
+    SourceBackoffs,
+    SyncSources,
+)
 
-# Delay before a failed source is polled again, doubled with each failure up to the
-# maximum.
-FIRST_RETRY_DELAY_SECONDS = 0.1
+# Maximum delay before a failed source is polled again.
 MAX_RETRY_DELAY_SECONDS = 2.0
 # Maximum delay between store polls of the first VM of a data centre, which has no
 # preferred sources. It is shorter because the other VMs rely on this one to notice that
@@ -57,15 +60,10 @@
 # How long the second relay of a data centre polls the first one at its start before it
 # reads the store. A daemon needs about this long from its start to its first reply.
 SECOND_RELAY_WAIT_SECONDS = 0.3
-# Number of preferred VMs that are polled before the store.
-RELAY_COUNT = 2
 # Longest wait of a poll by the head of a data centre at the head of another one, as a
 # fraction of the maximum age. The age of its own copy, which it serves, is the sum of
 # its wait and the age at its source.
 HEAD_WAIT_FRACTION = 0.2
-# Number of VMs of a data centre that read the store as soon as the relays before them
-# fail; the others follow these VMs.
-STORE_READER_COUNT = 3
 # A VM outside of the store readers reads the store only once its copy is older than
 # this multiple of the maximum age.
 STALE_AGE_FACTOR = 2.0
@@ -85,77 +83,11 @@
     max_age: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SyncSources:
-    """Sync sources of this VM in the order in which they are polled.
-
-    ``preferred`` are the VMs of the local data centre that come before this VM, and for
-    the first VM of a data centre the first VMs of other data centres of the region. The
-    first of them are polled before the store. ``fallback`` are polled last.
-    """
-
-    preferred: tuple[Address, ...]
-    fallback: tuple[Address, ...]
-    is_data_centre_head: bool = False
-
-    @property
-    def any_known(self) -> bool:
-        """Whether any other daemon is known."""
-        return bool(self.preferred or self.fallback)
-
-    @property
-    def is_store_reader(self) -> bool:
-        """Whether this VM reads the store as soon as its relays fail."""
-        return self.is_data_centre_head or len(self.preferred) < STORE_READER_COUNT
-
-    def relays(self) -> tuple[Address | None, ...]:
-        """Return the VMs that are polled before the store."""
-        return self.preferred[:RELAY_COUNT]
-
-    def sources(self, *, stale: bool) -> tuple[Address | None, ...]:
-        """Return all sources that may be polled, in order; None is the store.
-
-        VMs other than the store readers include the store only if their copy is
-        ``stale``. If all VMs of a data centre read it at once, the responses would fill
-        the link between regions, arrive too late and be requested again.
-        """
-        if self.is_store_reader or stale:
-            return (*self.relays(), None, *self.fallback)
-        return (*self.preferred[:STORE_READER_COUNT], *self.fallback)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _PollFailed:
     reason: str
 
 
-class _SourceBackoffs:
-    """The backoff of each source; None is the store."""
-
-    def __init__(self, random: Random) -> None:
-        self._random = random
-        self._retry_at_by_source: dict[Address | None, float] = {}
-        self._backoff_by_source: dict[Address | None, Backoff] = {}
-
-    def retry_at(self, source: Address | None) -> float:
-        return self._retry_at_by_source.get(source, 0.0)
-
-    def record_failure(
-        self, source: Address | None, now: float, max_delay: float
-    ) -> None:
-        backoff = self._backoff_by_source.get(source)
-        if backoff is None:
-            backoff = Backoff(
-                first_delay=FIRST_RETRY_DELAY_SECONDS, random=self._random
-            )
-            self._backoff_by_source[source] = backoff
-        self._retry_at_by_source[source] = now + backoff.next_delay(max_delay=max_delay)
-
-    def record_success(self, source: Address | None) -> None:
-        self._retry_at_by_source.pop(source, None)
-        self._backoff_by_source.pop(source, None)
-
-
 class TableFollower:
     """Keeps a copy of one table and serves it to followers.
 
@@ -196,7 +128,7 @@
         self._restored = restored
         self._mirror = TableMirror(changed=changed, restored=self._copy_replaced)
         self._loop = asyncio.get_running_loop()
-        self._backoffs = _SourceBackoffs(random)
+        self._backoffs = SourceBackoffs(random)
         # Era that a copy of a build without eras is taken for: the one in which this
         # daemon started. After a restore such a copy is therefore not applied.
         self._default_era = 0
--- a/src/cassiasail/_internal/coordination/mesh/publishing.py
+++ b/src/cassiasail/_internal/coordination/mesh/publishing.py
@@ -12,13 +12,13 @@
 from ...events import EventLog
 from ...state.table_mirror import NO_VERSION, StoredRow, StoreVersion
 from .backoff import Backoff
-from .following import FIRST_RETRY_DELAY_SECONDS
 from .shared_tables import (
     ConditionalWrite,
     SharedTables,
     StoreFailed,
     WriteConflict,
 )
+from .sync_sources import FIRST_RETRY_DELAY_SECONDS
 
 # Changes of the target within this time are combined into one write.
 BATCH_SECONDS = 0.05
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -7,7 +7,6 @@
 from cassiasail._internal.coordination.mesh.following import (
     BATCH_SECONDS,
     FollowTimes,
-    SyncSources,
     TableFollower,
 )
 from cassiasail._internal.coordination.mesh.shared_tables import (
@@ -17,6 +16,7 @@
     WriteConflict,
     WriteDone,
 )
+from cassiasail._internal.coordination.mesh.sync_sources import SyncSources
 from cassiasail._internal.protocol import table_sync
 from cassiasail._internal.protocol.exchanges import Address
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
--- a/tests/unit/mesh/test_sync_sources.py
+++ b/tests/unit/mesh/test_sync_sources.py
@@ -6,7 +6,8 @@
 from random import Random
 
 from cassiasail._internal.coordination.mesh.balancing import Fleet
-from cassiasail._internal.coordination.mesh.following import FollowTimes, SyncSources
+from cassiasail._internal.coordination.mesh.following import FollowTimes
+from cassiasail._internal.coordination.mesh.sync_sources import SyncSources
 from cassiasail._internal.ids import DataCentre, Region
 from cassiasail._internal.protocol.exchanges import Address
 from cassiasail._internal.state.hosts import HostRecord
