Show that a slow daemon makes its region read the store

The world of tests/lib/mesh_world.py plays links and processors that a large configuration keeps busy.

--- a/tests/lib/mesh_world.py
+++ b/tests/lib/mesh_world.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
@@ -13,6 +14,7 @@
 
 from cassiasail._internal.coordination.mesh.balancing import Fleet
 from cassiasail._internal.coordination.mesh.crashes import CrashHistory
+from cassiasail._internal.coordination.mesh.probing import SuspectProber
 from cassiasail._internal.coordination.mesh.publishing import RecordPublisher
 from cassiasail._internal.ids import DataCentre, Region, ServiceName, TargetId
 from cassiasail._internal.protocol import table_sync
@@ -33,7 +35,10 @@
 CONFIG_APPLY_SECONDS = 2.0
 TRIP_SECONDS = 0.002
 FEED_POLL_SECONDS = 0.01
+# How long a connection attempt to a VM or store that is silent takes to fail.
+CONNECT_TIMEOUT_SECONDS = 0.4
 LOST = ExchangeFailed(reason=FailureReason.TIMED_OUT, sent=True)
+RESET = ExchangeFailed(reason=FailureReason.RESET, sent=True)
 UNREACHABLE = ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
 
 # Longer than the resolution of the loop's clock, below which a timer fires early.
@@ -42,6 +47,60 @@
 RowId = tuple[str, str]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Place:
+    """Where a VM stands."""
+
+    data_centre: DataCentre
+    region: Region
+
+
+def places(regions: int, centres: int) -> tuple[Place, ...]:
+    """Return the data centres of ``regions`` with ``centres`` each."""
+    return tuple(
+        Place(
+            data_centre=DataCentre(f"dc-{region}-{centre}"),
+            region=Region(f"region-{region}"),
+        )
+        for region in range(regions)
+        for centre in range(centres)
+    )
+
+
+TWO_DATA_CENTRES = places(1, 2)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LargeConfig:
+    """What a large configuration costs, in seconds of each resource that it uses.
+
+    ``region_link`` and ``vm_link`` (of 100 Mbit/s) are for its row as the store sends
+    it; a daemon sends the ``peer_share`` of that. ``decode`` is the processor time for
+    applying it and ``encode`` that for sending it to one follower, on a VM that is not
+    slowed down.
+    """
+
+    region_link: float
+    vm_link: float
+    peer_share: float
+    decode: float
+    encode: float
+
+
+class Resource:
+    """A link or a processor that serves one user after the other."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._free_at = 0.0
+
+    def reserve(self, seconds: float) -> tuple[float, float]:
+        """Return the loop times at which the use of ``seconds`` starts and ends."""
+        start = max(self._loop.time(), self._free_at)
+        self._free_at = start + seconds
+        return start, self._free_at
+
+
 class WorldLoop(VirtualLoop):
     """A virtual loop whose passes take time.
 
@@ -67,17 +126,18 @@
     """The platform's store. Faults are switched with its attributes.
 
     It refuses the VMs in ``refused``, loses the responses to their writes for those in
-    ``loses_writes_of``, and delays responses to writes by ``write_delay`` seconds. With
-    ``refuses_reads`` it serves only writes.
+    ``loses_writes_of``, and delays responses to writes by ``write_delay`` seconds and
+    those to reads by ``read_delay``. With ``refuses_reads`` it serves only writes. With
+    ``silent`` it accepts no connection and sends no response.
     """
 
     def __init__(self) -> None:
         self.row_by_id: dict[RowId, dict[str, Any]] = {}
         self.version, self.era = 0, 1
-        self.down = self.refuses_reads = False
+        self.down = self.refuses_reads = self.silent = False
         self.refused: set[str] = set()
         self.loses_writes_of: set[str] = set()
-        self.write_delay = 0.0
+        self.write_delay = self.read_delay = 0.0
         self._loop = asyncio.get_running_loop()
         self._backups: list[Backup] = []
         self._back_up()
@@ -114,6 +174,9 @@
     async def respond(
         self, host: str, request: HttpRequest, timeout: float
     ) -> HttpResponse | ExchangeFailed:
+        if self.silent:
+            await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
+            return UNREACHABLE
         path, _, query_text = request.target.decode().partition("?")
         query = {name: values[0] for name, values in parse_qs(query_text).items()}
         is_write = path == "/v1/rows-tx"
@@ -121,6 +184,10 @@
             return self._reply({}, 503)
         if is_write:
             return await self._transact(host, json.loads(request.body), timeout)
+        if self.read_delay > timeout:
+            await asyncio.sleep(timeout)
+            return LOST
+        await asyncio.sleep(self.read_delay)
         if path == "/v1/rows-get":
             return self._page(query["table"], 0)
         return await self._feed(query)
@@ -148,6 +215,9 @@
         while True:
             if self.down or self.refuses_reads:
                 return UNREACHABLE
+            if self.silent:
+                await asyncio.sleep(max(0.0, deadline - self._loop.time()))
+                return LOST
             if after > self.version:
                 return self._reply({}, 410)
             reply = self._page(query["table"], after)
@@ -172,35 +242,46 @@
 class Vm:
     """One daemon, as far as it shares tables, and its network."""
 
-    def __init__(self, world: "MeshWorld", number: int) -> None:
+    def __init__(
+        self, world: "MeshWorld", number: int, *, place: Place, link_mbps: int = 100
+    ) -> None:
         self.host = f"vm-{number}"
         self.address = Address(f"10.0.0.{number}", 80)
         self.world = world
+        self.place = place
+        self._loop = asyncio.get_running_loop()
+        self._exited = asyncio.Event()
+        self.link, self.processor = Resource(), Resource()
+        # How many times longer than usual its processor takes.
+        self.slowdown = 1.0
         # False if other daemons see a build that knows no eras.
         self.knows_eras = True
         self.record = HostRecord(
             host=self.host,
             address=str(self.address),
-            data_centre=DataCentre(f"dc-{number % 2}"),
-            region=Region("region"),
+            data_centre=place.data_centre,
+            region=place.region,
             service=ServiceName("one"),
             target=TargetId(f"i-{number}"),
             start_time_ms=1,
             slots=4,
             state=TargetState.READY,
-            link_mbps=100,
+            link_mbps=link_mbps,
         )
         self.start()
 
     def start(self) -> None:
         """Start the daemon, with nothing in memory."""
         events, random = null_event_log(), Random(self.host)
+        self.started_at, self.stopping = self._loop.time(), False
+        self._exited.clear()
+        self._prober = SuspectProber(pool=self, events=events, random=random)
         self.fleet = Fleet(
             data_centre=self.record.data_centre,
             region=self.record.region,
             own_host=self.host,
             own_address=self.record.address,
-            own_link_mbps=100,
+            own_link_mbps=self.record.link_mbps,
             random=random,
         )
         tables = TableStore(address=STORE_ADDRESS, pool=self)
@@ -222,7 +303,7 @@
             own_row_changed=self.publisher.observe,
             records_restored=self.publisher.observe_restore,
             previous_record_found=lambda record: None,
-            peer_unreachable=lambda address: None,
+            peer_unreachable=self._suspect,
             events=events,
             random=random,
         )
@@ -233,9 +314,25 @@
         ]
 
     def stop(self) -> None:
+        """Stop the daemon at once; its VM refuses connections until ``start``."""
+        self._exited.set()
+        self._prober.stop()
         for task in self._tasks:
             task.cancel()
 
+    async def terminate(self, seconds: float) -> None:
+        """Stop the daemon as SIGTERM does, with a grace period of ``seconds``."""
+        self.stopping = True
+        self.publish(state=TargetState.SUSPENDED)
+        self.view.stop_serving()
+        await asyncio.sleep(seconds)
+        self.stop()
+
+    def _suspect(self, address: Address) -> None:
+        for host_view in self.fleet.view_by_host.values():
+            if host_view.address == address:
+                self._prober.suspect(host_view, "peer_unreachable")
+
     def publish(self, **changes: Any) -> None:
         """Publish the record of this VM with ``changes``."""
         self.record = replace(self.record, **changes)
@@ -249,16 +346,83 @@
         timeout: float,
         grace: float = 0.0,
     ) -> HttpResponse | ExchangeFailed:
+        sent_at = self._loop.time()
         await asyncio.sleep(TRIP_SECONDS)
-        store = self.world.store
+        reply: HttpResponse | ExchangeFailed
+        peer: Vm | None = None
         if address == STORE_ADDRESS:
-            reply = await store.respond(self.host, request, timeout)
+            reply = await self.world.store.respond(self.host, request, timeout)
+        elif address in self.world.vm_by_address:
+            peer = self.world.vm_by_address[address]
+            reply = await peer.respond(request, timeout)
         else:
-            reply = await self.world.vm_by_address[address].serve(request)
+            await asyncio.sleep(min(timeout, CONNECT_TIMEOUT_SECONDS))
+            reply = UNREACHABLE
+        if isinstance(reply, HttpResponse) and _carries_configuration(request, reply):
+            first_byte_by = sent_at + timeout
+            if not await self._receive_large(peer, first_byte_by, grace):
+                return LOST
         await asyncio.sleep(TRIP_SECONDS)
+        await self.use_processor(0.0)
         return reply
 
+    async def _receive_large(
+        self, peer: "Vm | None", first_byte_by: float, grace: float
+    ) -> bool:
+        """Use links and processors for a configuration; return false if it is late.
+
+        A response that is given up has used the links all the same.
+        """
+        costs, world = self.world.large, self.world
+        if costs is None:
+            return True
+        share = 1.0
+        links = [(self.link, costs.vm_link * 100 / self.record.link_mbps)]
+        if peer is not None:
+            share = costs.peer_share
+            await peer.use_processor(costs.encode)
+            links.append((peer.link, costs.vm_link * 100 / peer.record.link_mbps))
+        source = world.places[0] if peer is None else peer.place
+        if source.region != self.place.region:
+            links.append((world.link_by_region[self.place.region], costs.region_link))
+        uses = [link.reserve(seconds * share) for link, seconds in links]
+        starts_at, ends_at = (max(times) for times in zip(*uses, strict=True))
+        is_late = starts_at > first_byte_by or ends_at > first_byte_by + grace
+        now = self._loop.time()
+        if is_late:
+            deadline = first_byte_by + (0.0 if starts_at > first_byte_by else grace)
+            await asyncio.sleep(max(0.0, deadline - now))
+            return False
+        await asyncio.sleep(ends_at - now)
+        await self.use_processor(costs.decode)
+        return True
+
+    async def use_processor(self, seconds: float) -> None:
+        """Wait until the processor has been used for ``seconds``."""
+        _, ends_at = self.processor.reserve(seconds * self.slowdown)
+        await asyncio.sleep(max(0.0, ends_at - self._loop.time()))
+
+    async def respond(
+        self, request: HttpRequest, timeout: float
+    ) -> HttpResponse | ExchangeFailed:
+        """Serve ``request`` as far as the daemon runs, within ``timeout`` seconds."""
+        if self._exited.is_set():
+            return UNREACHABLE
+        response = asyncio.ensure_future(self.serve(request))
+        exited = asyncio.ensure_future(self._exited.wait())
+        done, pending = await asyncio.wait(
+            (response, exited),
+            timeout=timeout,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in pending:
+            task.cancel()
+        if response in done:
+            return response.result()
+        return RESET if exited in done else LOST
+
     async def serve(self, request: HttpRequest) -> HttpResponse:
+        await self.use_processor(0.0)
         query = table_sync.decode_query(request)
         assert query is not None
         if self.knows_eras:
@@ -276,19 +440,44 @@
         return view is not None and view.record == other.record
 
 
+def _carries_configuration(request: HttpRequest, response: HttpResponse) -> bool:
+    """Return whether ``response`` has the row of the configuration."""
+    query = table_sync.decode_query(request)
+    if query is None:
+        return b"table=op" in request.target and b'"key": "config"' in response.body
+    if query.table != "op":
+        return False
+    reply = table_sync.decode_reply(response, default_era=1)
+    return reply is not None and bool(reply.delta.rows)
+
+
 class MeshWorld:
-    """A store, its operator and some VMs in two data centres."""
+    """A store, its operator and some VMs, spread over ``places`` in turn."""
 
-    def __init__(self, vms: int) -> None:
+    def __init__(self, vms: int, *, places: Sequence[Place] = TWO_DATA_CENTRES) -> None:
+        self.places = places
+        self.link_by_region = {place.region: Resource() for place in places}
+        # None if the configuration is small: then it costs nothing.
+        self.large: LargeConfig | None = None
         self.store = WireStore()
         self.version = 0
         self.write_configuration(1)
         self.vms: list[Vm] = []
         self.vm_by_address: dict[Address, Vm] = {}
         for number in range(1, vms + 1):
-            vm = Vm(self, number)
-            self.vms.append(vm)
-            self.vm_by_address[vm.address] = vm
+            self.add(number, place=places[number % len(places)])
+
+    def add(self, number: int, *, place: Place, link_mbps: int = 100) -> Vm:
+        """Start a daemon on a new VM."""
+        vm = Vm(self, number, place=place, link_mbps=link_mbps)
+        self.vms.append(vm)
+        self.vm_by_address[vm.address] = vm
+        return vm
+
+    def remove(self, vm: Vm) -> None:
+        """Remove a VM; connection attempts to its address time out."""
+        self.vms.remove(vm)
+        del self.vm_by_address[vm.address]
 
     def write_configuration(self, version: int) -> None:
         """Write ``version``, also one that the operator has written before."""
