Keep a target within the rate of requests that it names

The daemon beside the target is the only way to it, so it alone enforces the limit, also for calls of other targets and for retries. Requests that exceed it wait in the queue by priority. One that can't be admitted within its longest wait is refused at once, also when more urgent ones take its place later. The limit ends with a response that names none to a request that was dispatched after it was last named; a limit near zero is tried twice in 4 s, because only responses show its end. Load reports carry the limit: entry daemons count the wait for it, put it into Retry-After, and return it with their requests, so a host daemon that has restarted knows it before the first response.

--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -8,6 +8,9 @@
 under overload the slots then serve responses that are in time instead of a queue in
 which all are late. Among these the request with the shortest service time goes first,
 so that as many as possible are served when there are too few slots for all.
+
+A target in need names a rate of requests that it takes. What exceeds it waits in the
+same queue, and is refused at once when it can't be admitted in time any more.
 """
 
 import asyncio
@@ -15,12 +18,15 @@
 from dataclasses import dataclass, field
 
 from ...state.calls import HostReason
+from .rate_limit import RateLimit
 
 # Weight of a new sample; the mean covers about the last ten requests.
 SAMPLE_WEIGHT = 0.1
 # Service time assumed before the first sample. It is low, so that the first requests
 # are not refused.
 INITIAL_SERVICE_SECONDS = 0.05
+# The loop calls timers early by less than this.
+TIMER_RESOLUTION_SECONDS = 0.001
 # Bounds the memory of the queue; the wait is bounded by ``max_wait`` of each request.
 MAX_WAITING_PER_SLOT = 64
 
@@ -58,7 +64,8 @@
     ``late`` is true if the request is expected to miss its latency objective.
     ``service_seconds`` is the expected service time. ``arrival_number`` counts
     arrivals; requests that are equal otherwise are served in this order.
-    ``granted`` gets None for a slot, or the reason of a refusal.
+    ``granted`` gets None for a slot, or the reason of a refusal. ``expires_at`` is the
+    loop time in seconds until which it may wait.
     """
 
     priority: int
@@ -66,6 +73,7 @@
     service_seconds: float
     arrival_number: int
     granted: "asyncio.Future[HostReason | None]" = field(compare=False)
+    expires_at: float = field(compare=False)
 
 
 class Admission:
@@ -80,6 +88,8 @@
         self.service_time = RunningMean()
         self.running = 0
         self.closed_reason: HostReason | None = None
+        self._rate_limit = RateLimit()
+        self._rate_timer: asyncio.TimerHandle | None = None
         self._queue: list[_QueuedRequest] = []
         self._last_arrival_number = 0
         self._loop = asyncio.get_running_loop()
@@ -89,21 +99,42 @@
         """Number of requests that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def rate_limit(self) -> float | None:
+        """The rate of requests that the target names, in requests a second."""
+        return self._rate_limit.rate
+
+    def set_rate_limit(self, rate: float | None, *, dispatched_at: float) -> bool:
+        """Apply the limit that a response of the target names, None for none.
+
+        ``dispatched_at`` is the loop time at which its request was dispatched. Returns
+        whether the limit changed.
+        """
+        changed = self._rate_limit.set(rate, dispatched_at=dispatched_at)
+        if changed:
+            self._refuse_hopeless()
+            self._grant_free_slots()
+        return changed
+
     def expected_wait(self, priority: int, late: bool, service_seconds: float) -> float:
         """Return the seconds that a request which arrives now would wait for a slot."""
         if self.running < self.slots and not self._queue:
-            return 0.0
+            return self._rate_limit.wait_for(1)
         order = (priority, late, service_seconds)
         requests_before = sum(
             (queued.priority, queued.late, queued.service_seconds) <= order
             for queued in self._queue
         )
+        limit_wait = self._rate_limit.wait_for(requests_before + 1)
+        if self.running < self.slots:
+            return limit_wait
         running_above_slots = max(0, self.running - self.slots)
-        return (
+        slot_wait = (
             (requests_before + running_above_slots + 1)
             * self.service_time.value
             / self.slots
         )
+        return max(limit_wait, slot_wait)
 
     async def acquire(
         self,
@@ -122,7 +153,7 @@
         """
         if self.closed_reason is not None:
             return self.closed_reason
-        if self.running < self.slots and not self._queue:
+        if self.running < self.slots and not self._queue and self._rate_limit.take():
             self.running += 1
             return None
         if len(self._queue) >= MAX_WAITING_PER_SLOT * self.slots:
@@ -164,9 +195,16 @@
         self._last_arrival_number += 1
         future = self._loop.create_future()
         queued = _QueuedRequest(
-            priority, late, service_seconds, self._last_arrival_number, future
+            priority,
+            late,
+            service_seconds,
+            self._last_arrival_number,
+            future,
+            self._loop.time() + max_wait,
         )
         heapq.heappush(self._queue, queued)
+        self._refuse_hopeless()
+        self._grant_free_slots()
         timer = self._loop.call_later(max_wait, self._expire, queued)
         try:
             return await queued.granted
@@ -191,10 +229,42 @@
             heapq.heapify(self._queue)
 
     def _grant_free_slots(self) -> None:
-        """Grant all free slots to the first requests in the queue."""
+        """Grant all free slots to the first requests in the queue.
+
+        If the rate limit admits none of them yet, this is called again when it does.
+        """
         while self._queue and self.running < self.slots:
-            queued = heapq.heappop(self._queue)
-            if queued.granted.done():
+            if self._queue[0].granted.done():
+                heapq.heappop(self._queue)
                 continue
+            if not self._rate_limit.take():
+                self._call_when_admitted()
+                return
             self.running += 1
-            queued.granted.set_result(None)
+            heapq.heappop(self._queue).granted.set_result(None)
+
+    def _call_when_admitted(self) -> None:
+        if self._rate_timer is not None:
+            self._rate_timer.cancel()
+        # A timer may fire a little early.
+        delay = self._rate_limit.wait_for(1) + TIMER_RESOLUTION_SECONDS
+        self._rate_timer = self._loop.call_later(delay, self._grant_free_slots)
+
+    def _refuse_hopeless(self) -> None:
+        """Refuse the queued requests that the rate limit does not admit in time.
+
+        More urgent ones that came later have taken their places.
+        """
+        if self._rate_limit.rate is None:
+            return
+        now = self._loop.time()
+        admitted = 0
+        for queued in sorted(self._queue):
+            if queued.granted.done():
+                continue
+            wait = self._rate_limit.wait_for(admitted + 1) + TIMER_RESOLUTION_SECONDS
+            if now + wait > queued.expires_at:
+                self._remove(queued)
+                queued.granted.set_result(HostReason.BUSY)
+            else:
+                admitted += 1
--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -127,6 +127,7 @@
         Without a recent load report only the requests of this daemon are counted.
         """
         load = self.load
+        limit_seconds = 0.0
         if load is None or now - self.load_received_at > LOAD_REPORT_MAX_AGE_SECONDS:
             slots, service_seconds = self.record.slots, INITIAL_SERVICE_SECONDS
             requests_ahead = self.in_flight
@@ -135,7 +136,9 @@
         else:
             slots, service_seconds = load.slots, load.service_seconds
             requests_ahead = load.running + load.waiting + self.forwarded_since_load
-        return max(0, requests_ahead + 1 - slots) * service_seconds / slots
+            limit_seconds = load.limit_seconds(load.waiting + self.forwarded_since_load)
+        slot_seconds = max(0, requests_ahead + 1 - slots) * service_seconds / slots
+        return max(slot_seconds, limit_seconds)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -321,6 +321,7 @@
             retry=state.dispatches > 0,
             remaining_time=remaining_time,
             max_wait=max(0.0, max_wait),
+            known_limit=view.load.rate_limit if view.load is not None else None,
         )
         state.placement_attempts += 1
         view.in_flight += 1
@@ -352,8 +353,7 @@
             if reply.reason is HostReason.BUSY:
                 state.busy.add(host)
             if reply.load is not None:
-                load = reply.load
-                state.expected_wait = load.waiting * load.service_seconds / load.slots
+                state.expected_wait = reply.load.queue_seconds
             if reply.reason is HostReason.PEER_UNREACHABLE:
                 self._suspect(view, reply.reason.value)
             elif reply.reason in _NO_USABLE_TARGET_REASONS:
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -81,11 +81,14 @@
 
     ``ran`` is false if the target states that it did not execute the request,
     ``misdirected`` true if another target than the one addressed responded.
+    ``rate_limit`` is the number of requests a second that the target takes from all
+    daemons together, None if it names none.
     """
 
     response: TargetResponse
     ran: bool
     misdirected: bool
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -164,6 +167,8 @@
         self._last_heartbeat: TargetHeartbeat | None = None
         self._address: Address | None = None
         self._admission = Admission(slots=1)
+        # Whether the incarnation in service has responded to this daemon.
+        self._has_responded = False
         self._failure_share = FailureShare()
         self._service_time_by_route: dict[str, RunningMean] = {}
         self._execution_by_attempt_id: dict[Hashable, _UnsafeExecution] = {}
@@ -212,6 +217,7 @@
             self._pool.close_idle(self._address)
         self._address = parse_address(heartbeat.address)
         self._admission = Admission(slots=heartbeat.slots)
+        self._has_responded = False
         self._failure_share = FailureShare()
         self._service_time_by_route.clear()
 
@@ -231,6 +237,7 @@
             service_seconds=admission.service_time.value,
             failure_share=self._failure_share.at(self._loop.time()),
             route_service_seconds=mean.value if mean is not None else 0.0,
+            rate_limit=admission.rate_limit,
         )
 
     @property
@@ -335,6 +342,9 @@
         if refusal is not None:
             return _refused(refusal)
         admission = self._admission
+        if not self._has_responded and hosted.known_limit is not None:
+            # This daemon has restarted and others know the limit from before.
+            self._apply_rate_limit(admission, hosted.known_limit, self._started_at)
         queued_at = self._loop.time()
         refusal = await admission.acquire(
             priority=hosted.priority,
@@ -406,6 +416,8 @@
             self._service_time_of(hosted.route).add_if_longer(cancelled_after)
             raise
         run_seconds = self._loop.time() - dispatched_at
+        if isinstance(result, HttpResponse) and admission is self._admission:
+            self._apply_notices(admission, result, dispatched_at)
         metrics.MESH_TRY_SECONDS.labels(hosted.service).observe(run_seconds)
         reply = self._reply_of(result, run_seconds)
         failed = reply.outcome is not HostOutcome.ANSWERED or (
@@ -433,6 +445,27 @@
             )
         return reply
 
+    def _apply_notices(
+        self, admission: Admission, result: HttpResponse, dispatched_at: float
+    ) -> None:
+        """Apply what a response says about the target itself."""
+        decoded = self._codec.decode(result)
+        if decoded.misdirected:
+            return
+        self._has_responded = True
+        self._apply_rate_limit(admission, decoded.rate_limit, dispatched_at)
+
+    def _apply_rate_limit(
+        self, admission: Admission, rate: float | None, dispatched_at: float
+    ) -> None:
+        if admission.set_rate_limit(rate, dispatched_at=dispatched_at):
+            heartbeat = self._heartbeat
+            self._events.write(
+                "target_limit",
+                target=heartbeat.target if heartbeat is not None else "",
+                per_second=rate,
+            )
+
     def _service_time_of(self, route: str) -> RunningMean:
         """Return the mean service time of the target on ``route``."""
         mean = self._service_time_by_route.get(route)
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -169,6 +169,11 @@
     ["use"],
     registry=REGISTRY,
 )
+MESH_TARGET_LIMIT = Gauge(
+    "cassiasail_mesh_target_limit_per_second",
+    "Rate of requests that the target beside this daemon names as its limit, or -1.",
+    registry=REGISTRY,
+)
 MESH_TABLE_AGE = Gauge(
     "cassiasail_mesh_table_age_seconds",
     "Time since the store confirmed this daemon's copy of a table, by table.",
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -4,10 +4,12 @@
 adds the fields from which the host daemon decides whether and when to dispatch the
 request. ``cs-retry`` is set for one that was already dispatched to another target, and
 ``cs-resent`` for the second copy of a request, with the milliseconds since the first.
-They are headers of their own because builds without them accept a fixed number of
-fields in ``cs-call``. The header ``cs-reply`` of the response carries the outcome and
-the load report of the target, and ``cs-attempt`` the attempt id of the request. Fields
-are separated by commas; those of ``cs-call`` are percent-encoded.
+``cs-limit`` is the rate limit of the target, in requests a second: in a request the one
+that the entry daemon knows, in a response the one in force. They are headers of their
+own because builds without them accept a fixed number of fields in ``cs-call``. The
+header ``cs-reply`` of the response carries the outcome and the load report of the
+target, and ``cs-attempt`` the attempt id of the request. Fields are separated by
+commas; those of ``cs-call`` are percent-encoded.
 """
 
 from urllib.parse import quote, unquote
@@ -29,12 +31,20 @@
 ATTEMPT_HEADER = b"cs-attempt"
 RETRY_HEADER = b"cs-retry"
 RESENT_HEADER = b"cs-resent"
+LIMIT_HEADER = b"cs-limit"
 _HOST = b"host"
 _ADDED_REQUEST_HEADERS = frozenset(
-    (CALL_HEADER, RETRY_HEADER, RESENT_HEADER, _HOST, b"content-length")
+    (CALL_HEADER, RETRY_HEADER, RESENT_HEADER, LIMIT_HEADER, _HOST, b"content-length")
 )
 _ADDED_REPLY_HEADERS = frozenset(
-    (REPLY_HEADER, ATTEMPT_HEADER, b"content-length", b"connection", b"keep-alive")
+    (
+        REPLY_HEADER,
+        ATTEMPT_HEADER,
+        LIMIT_HEADER,
+        b"content-length",
+        b"connection",
+        b"keep-alive",
+    )
 )
 # HTTP status of replies without a response of the target; only daemons see it.
 _NO_RESPONSE_STATUS = 299
@@ -45,6 +55,14 @@
     return _TRUE if value else _FALSE
 
 
+def _encode_limit(limit: float | None) -> tuple[Header, ...]:
+    return () if limit is None else ((LIMIT_HEADER, repr(limit).encode()),)
+
+
+def _decode_limit(value: bytes | None) -> float | None:
+    return None if value is None else float(value)
+
+
 def encode_request(hosted: HostedRequest) -> HttpRequest:
     """Return the HTTP request that carries ``hosted`` to the host daemon."""
     request = hosted.request
@@ -68,7 +86,13 @@
     return HttpRequest(
         method=request.method,
         target=request.request_target,
-        headers=(*own_headers, *retry, *resent, *request.headers),
+        headers=(
+            *own_headers,
+            *retry,
+            *resent,
+            *_encode_limit(hosted.known_limit),
+            *request.headers,
+        ),
         body=request.body,
     )
 
@@ -115,6 +139,7 @@
             late=late == _TRUE,
             retry=request.header(RETRY_HEADER) is not None,
             resent_after=None if resent_ms is None else int(resent_ms) / 1000,
+            known_limit=_decode_limit(request.header(LIMIT_HEADER)),
             remaining_time=int(remaining_ms) / 1000,
             max_wait=int(max_wait_ms) / 1000,
         )
@@ -143,6 +168,8 @@
             str(int(load.route_service_seconds * 1000)),
         ]
     own_headers: tuple[Header, ...] = ((REPLY_HEADER, ",".join(fields).encode()),)
+    if load is not None:
+        own_headers += _encode_limit(load.rate_limit)
     if attempt_id:
         own_headers += ((ATTEMPT_HEADER, attempt_id.encode("latin-1")),)
     response = reply.response
@@ -183,14 +210,18 @@
             outcome=HostOutcome(outcome),
             reason=HostReason(reason),
             response=target_response if has_response else None,
-            load=_decode_load(load_fields) if load_fields else None,
+            load=(
+                _decode_load(load_fields, _decode_limit(response.header(LIMIT_HEADER)))
+                if load_fields
+                else None
+            ),
             run_seconds=int(run_ms) / 1000,
         )
     except (UnicodeDecodeError, ValueError):
         return None
 
 
-def _decode_load(fields: list[str]) -> HostLoad:
+def _decode_load(fields: list[str], rate_limit: float | None) -> HostLoad:
     running, waiting, slots, service_ms, failure_share, route_service_ms = fields
     return HostLoad(
         running=int(running),
@@ -199,4 +230,5 @@
         service_seconds=int(service_ms) / 1000,
         failure_share=float(failure_share),
         route_service_seconds=int(route_service_ms) / 1000,
+        rate_limit=rate_limit,
     )
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -438,6 +438,8 @@
         load = self._dispatcher.load()
         for use in ("running", "waiting", "slots"):
             metrics.MESH_TARGET_SLOTS.labels(use).set(getattr(load, use))
+        limit = load.rate_limit
+        metrics.MESH_TARGET_LIMIT.set(-1.0 if limit is None else limit)
         for table, age in self._store_view.age_by_table().items():
             metrics.MESH_TABLE_AGE.labels(table).set(age)
         for table, version in self._store_view.version_by_table().items():
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -7,6 +7,10 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Requests a second that are sent to a target which takes fewer or none. Its responses
+# are the only sign that its need is over.
+MIN_LIMITED_RATE = 0.5
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientRequest:
@@ -40,7 +44,8 @@
     will probably miss the latency objective of its route. A ``safe`` request may be
     executed more than once. A ``retry`` was already dispatched to a target before.
     ``resent_after`` is set for a second copy, sent because the connection of the first
-    was lost: the seconds between the two.
+    was lost: the seconds between the two. ``known_limit`` is the rate limit of the
+    target in the last load report that the entry daemon has from it.
     """
 
     request: ClientRequest
@@ -53,6 +58,7 @@
     max_wait: float
     retry: bool = False
     resent_after: float | None = None
+    known_limit: float | None = None
 
 
 class HostOutcome(Enum):
@@ -107,7 +113,8 @@
     ``service_seconds`` is the mean service time over all routes.
     ``route_service_seconds`` is that of the route of the request that the report comes
     with, 0 if unknown. ``failure_share`` is the recent share of failed requests,
-    between 0 and 1.
+    between 0 and 1. ``rate_limit`` is the rate in requests a second that a target in
+    need takes from all daemons together, None for one without a limit.
     """
 
     running: int
@@ -116,6 +123,19 @@
     service_seconds: float
     failure_share: float
     route_service_seconds: float = 0.0
+    rate_limit: float | None = None
+
+    @property
+    def queue_seconds(self) -> float:
+        """Return the seconds until the requests that wait now have been dispatched."""
+        slot_seconds = self.waiting * self.service_seconds / self.slots
+        return max(slot_seconds, self.limit_seconds(self.waiting))
+
+    def limit_seconds(self, requests: int) -> float:
+        """Return the seconds in which the rate limit admits ``requests``."""
+        if self.rate_limit is None:
+            return 0.0
+        return requests / max(self.rate_limit, MIN_LIMITED_RATE)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cassiasail/platform/requests.py
+++ b/src/cassiasail/platform/requests.py
@@ -1,5 +1,7 @@
 """Requests and responses of clients and targets with the platform's headers."""
 
+import math
+
 from .._internal.coordination.mesh.entry import (
     FinalResponse,
     NoRoute,
@@ -17,6 +19,7 @@
 _CLIENT_SERVICE = b"x-cassiasail-caller-service"
 _NOT_RUN = b"x-cassiasail-not-run"
 _LOAD_REPORT = b"x-cassiasail-server-load"
+_RATE_LIMIT = b"server-limit"
 _TARGET_ID = b"x-cassiasail-instance-id"
 _HOST = b"host"
 _RETRY_AFTER = b"retry-after"
@@ -147,9 +150,19 @@
         ran=response.header(_NOT_RUN) is None
         and response.status != _MISDIRECTED_STATUS,
         misdirected=response.status == _MISDIRECTED_STATUS,
+        rate_limit=_decode_rate_limit(response.header(_RATE_LIMIT)),
     )
 
 
+def _decode_rate_limit(value: bytes | None) -> float | None:
+    """Return the requests a second, None if the header is missing or malformed."""
+    try:
+        rate = float(value or b"")
+    except ValueError:
+        return None
+    return rate if 0 <= rate < math.inf else None
+
+
 def _decode_attempt_id(response: HttpResponse) -> str | None:
     """Return the attempt id that a target echoes, None without one."""
     attempt_id = response.header(_ATTEMPT_ID)
--- /dev/null
+++ b/tests/unit/mesh/test_target_limits.py
@@ -0,0 +1,255 @@
+"""Targets that name the rate of requests that they take, or that they leave."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import pytest
+
+from cassiasail._internal.coordination.mesh.hosting import TargetDispatcher
+from cassiasail._internal.protocol.exchanges import Address, ResponseMatch
+from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
+from cassiasail._internal.state.calls import HostedRequest, HostOutcome, HostReply
+from devtools.virtual_loop import VirtualLoop
+from tests.unit.mesh.test_hosting import HEARTBEAT, SAFE, dispatcher_for
+
+WINDOW_SECONDS = 4.0
+# Time after a limit was first named from which it is enforced by the users.
+CONTACT_SECONDS = 3.0
+
+
+def most_in_window(times: list[float]) -> int:
+    """Return the largest number of ``times`` within ``WINDOW_SECONDS``."""
+    return max(
+        (
+            sum(start <= each < start + WINDOW_SECONDS for each in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+def allowed(limit: float) -> float:
+    return 1.5 * limit * WINDOW_SECONDS + 5
+
+
+@dataclass
+class LimitedTarget:
+    """A target whose responses name ``limit`` as long as it is not None."""
+
+    limit: str | None = None
+    leaving: bool = False
+    seconds: float = 0.03
+    arrivals: list[float] = field(default_factory=list)
+    paths: list[bytes] = field(default_factory=list)
+
+    async def exchange(
+        self,
+        address: Address,
+        request: HttpRequest,
+        *,
+        timeout: float,
+        match: Callable[[HttpResponse], ResponseMatch] | None = None,
+        max_idle: float | None = None,
+    ) -> HttpResponse:
+        self.arrivals.append(asyncio.get_running_loop().time())
+        self.paths.append(request.target)
+        await asyncio.sleep(self.seconds)
+        headers: tuple[tuple[bytes, bytes], ...] = ()
+        if self.limit is not None:
+            headers += ((b"server-limit", self.limit.encode()),)
+        if self.leaving:
+            headers += ((b"server-leaving", b"1"),)
+        return HttpResponse(status=200, headers=headers, body=b"done")
+
+    def close_idle(self, address: Address) -> None:
+        pass
+
+
+def hosted(number: int, **changes: object) -> HostedRequest:
+    """Return request ``number`` with a path of its own."""
+    path = b"/%d" % number
+    request = replace(SAFE.request, attempt_id=f"id-{number}", request_target=path)
+    return replace(SAFE, request=request, **changes)  # type: ignore[arg-type]
+
+
+class Load:
+    """Sends requests at a constant rate to ``dispatcher`` and keeps the replies."""
+
+    def __init__(self, dispatcher: TargetDispatcher) -> None:
+        self.dispatcher = dispatcher
+        self.replies: list[tuple[int, HostReply, float]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._number = 0
+
+    async def run(
+        self,
+        rate: float,
+        seconds: float,
+        priorities: tuple[int, ...] = (1,),
+        **more: object,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        random, end = Random(1), loop.time() + seconds
+        while loop.time() < end:
+            self._number += 1
+            priority = priorities[self._number % len(priorities)]
+            request = hosted(self._number, priority=priority, **more)
+            task = asyncio.create_task(self._send(request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(random.expovariate(rate))
+
+    async def _send(self, request: HostedRequest) -> None:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        reply = await self.dispatcher.execute(request)
+        self.replies.append((request.priority, reply, loop.time() - sent_at))
+
+    async def finish(self) -> None:
+        await asyncio.gather(*self._tasks)
+
+
+def play(script: Callable[[], Awaitable[None]]) -> None:
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(script())  # type: ignore[arg-type]
+
+
+def start(target: LimitedTarget) -> TargetDispatcher:
+    dispatcher = dispatcher_for(target)  # type: ignore[arg-type]
+    dispatcher.set_target(replace(HEARTBEAT, slots=18))
+    return dispatcher
+
+
+@pytest.mark.parametrize("limit", ["73.5", "20", "2.5", "0"])
+def test_target_gets_no_more_requests_than_it_named(limit: str) -> None:
+    """Guards against a target in need that gets several times its limit."""
+
+    async def script() -> None:
+        target = LimitedTarget(limit=limit)
+        load = Load(start(target))
+        await load.run(200, 12.0)
+        loop = asyncio.get_running_loop()
+        late = [
+            at for at in target.arrivals if at > loop.time() - 12.0 + CONTACT_SECONDS
+        ]
+        assert most_in_window(late) <= allowed(float(limit))
+        # What the target takes is used.
+        assert len(late) >= 0.9 * float(limit) * 9.0
+        await load.finish()
+
+    play(script)
+
+
+def test_limit_ends_when_responses_stop_naming_it() -> None:
+    """Guards against a target that stays limited after its need is over."""
+
+    async def script() -> None:
+        target = LimitedTarget(limit="5")
+        load = Load(start(target))
+        await load.run(100, 6.0)
+        target.limit = None
+        await load.run(100, 3.0)
+        loop = asyncio.get_running_loop()
+        assert sum(at > loop.time() - 2.0 for at in target.arrivals) > 150
+        await load.finish()
+
+    play(script)
+
+
+def test_late_response_without_a_limit_does_not_end_it() -> None:
+    """Guards against a limit lifted by a response from before it was named."""
+
+    async def script() -> None:
+        target = LimitedTarget(seconds=1.0)
+        dispatcher = start(target)
+        slow = asyncio.create_task(dispatcher.execute(hosted(1)))
+        await asyncio.sleep(0.5)
+        target.limit, target.seconds = "3", 0.01
+        await dispatcher.execute(hosted(2))
+        target.limit = None
+        # Its request was dispatched before the limit was named.
+        await slow
+        assert dispatcher.load().rate_limit == 3.0
+        await asyncio.sleep(1)
+        await dispatcher.execute(hosted(3))
+        assert dispatcher.load().rate_limit is None
+
+    play(script)
+
+
+def test_requests_beyond_the_limit_are_refused_by_rank_and_at_once() -> None:
+    """Guards against urgent requests refused beside others, and late refusals."""
+
+    async def script() -> None:
+        target = LimitedTarget(limit="40")
+        load = Load(start(target))
+        await load.run(100, 10.0, priorities=(0, 2, 2, 2), max_wait=0.5)
+        await load.finish()
+        served = {
+            priority: [
+                reply.outcome is HostOutcome.ANSWERED
+                for each, reply, _ in load.replies
+                if each == priority
+            ]
+            for priority in (0, 2)
+        }
+        assert sum(served[0]) > 0.97 * len(served[0])
+        assert sum(served[2]) < 0.5 * len(served[2])
+        refused_after = sorted(
+            seconds
+            for _, reply, seconds in load.replies
+            if reply.outcome is HostOutcome.REFUSED
+        )
+        # A queued one is refused when those before it take the time that it had.
+        assert refused_after[len(refused_after) // 2] == 0.0
+        assert refused_after[-1] < 0.5
+
+    play(script)
+
+
+def test_restarted_daemon_keeps_the_limit_that_others_know() -> None:
+    """Guards against a flood when the daemon beside the target forgot a limit."""
+
+    async def script() -> None:
+        target = LimitedTarget(limit="10", seconds=2.0)
+        first = start(target)
+        await first.execute(hosted(0))
+        known = first.load().rate_limit
+        assert known == 10.0
+        restarted = start(target)
+        load = Load(restarted)
+        target.arrivals.clear()
+        await load.run(100, 4.0, known_limit=known)
+        assert most_in_window(target.arrivals) <= allowed(10)
+        await load.finish()
+
+    play(script)
+
+
+def test_new_incarnation_has_no_limit() -> None:
+    """Guards against a limit that outlives the target that named it."""
+
+    async def script() -> None:
+        target = LimitedTarget(limit="1")
+        dispatcher = start(target)
+        await dispatcher.execute(hosted(1))
+        assert dispatcher.load().rate_limit == 1.0
+        dispatcher.set_target(replace(HEARTBEAT, start_time_ms=2))
+        assert dispatcher.load().rate_limit is None
+
+    play(script)
+
+
+@pytest.mark.parametrize("named", ["", "many", "nan", "inf", "-3"])
+def test_malformed_limit_is_none(named: str) -> None:
+    """Guards against a target that is cut off by a limit that can't be read."""
+
+    async def script() -> None:
+        target = LimitedTarget(limit=named)
+        dispatcher = start(target)
+        await dispatcher.execute(hosted(1))
+        assert dispatcher.load().rate_limit is None
+
+    play(script)
