Stop using a target whose responses state that it is leaving

The daemon beside the target now takes it out of service as after such a heartbeat, publishes that, and names the incarnation in its replies. The entry daemon doesn't choose this incarnation again, also if the host daemon restarts and its record from before is read once more.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -235,6 +235,12 @@
             self.remove(view.record.host)
         return True
 
+    def mark_leaving(self, view: HostView, incarnation: Incarnation) -> None:
+        """Stop using a target whose host daemon replied that it is leaving."""
+        record = view.record
+        if record.incarnation == incarnation and record.state is TargetState.READY:
+            self.update(replace(record, state=TargetState.LEAVING), view.version)
+
     def remove(self, host: HostId) -> None:
         """Remove a VM and mark its view as removed for tasks that still hold it."""
         view = self.view_by_host.pop(host, None)
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -332,6 +332,8 @@
             view.in_flight -= 1
         if reply.load is not None:
             self._fleet.apply_load_report(view, route.name, reply.load)
+        if reply.leaving_target is not None:
+            self._fleet.mark_leaving(view, reply.leaving_target)
         metrics.MESH_TRIES.labels(
             state.service, reply.outcome.value, reply.reason.value
         ).inc()
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -13,7 +13,7 @@
 
 from ... import metrics
 from ...events import EventLog
-from ...ids import TargetId
+from ...ids import ServiceName, TargetId
 from ...protocol.exchanges import (
     Address,
     ExchangeFailed,
@@ -33,7 +33,7 @@
     HostReply,
     TargetResponse,
 )
-from ...state.hosts import TargetCrash
+from ...state.hosts import Incarnation, TargetCrash
 from ...state.kept_results import KEEP_RESULT_SECONDS, KeptResults
 from .admission import Admission, RunningMean
 from .crashes import CrashEvidence, CrashHistory
@@ -82,13 +82,15 @@
     ``ran`` is false if the target states that it did not execute the request,
     ``misdirected`` true if another target than the one addressed responded.
     ``rate_limit`` is the number of requests a second that the target takes from all
-    daemons together, None if it names none.
+    daemons together, None if it names none. ``leaving`` is true if the target states
+    that it accepts no new requests.
     """
 
     response: TargetResponse
     ran: bool
     misdirected: bool
     rate_limit: float | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,7 +144,8 @@
 class TargetDispatcher:
     """Admits requests for the local target and dispatches them to it.
 
-    ``on_crash`` is called for each crash of a target with requests in flight.
+    ``on_crash`` is called for each crash of a target with requests in flight, and
+    ``on_leaving`` with the incarnation of a target that states that it is leaving.
     """
 
     def __init__(
@@ -152,12 +155,14 @@
         codec: TargetCodec,
         crashes: CrashHistory,
         on_crash: Callable[[TargetCrash], None],
+        on_leaving: Callable[[Incarnation], None],
         events: EventLog,
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._crashes = crashes
         self._on_crash = on_crash
+        self._on_leaving = on_leaving
         self._crash_evidence = CrashEvidence()
         self._events = events
         self._loop = asyncio.get_running_loop()
@@ -254,7 +259,18 @@
             reply = await self._execute(hosted, None)
         else:
             reply = await self._execute_once(hosted)
-        return replace(reply, load=self.load(hosted.route))
+        return replace(
+            reply,
+            load=self.load(hosted.route),
+            leaving_target=self._leaving_target(hosted.service),
+        )
+
+    def _leaving_target(self, service: ServiceName) -> Incarnation | None:
+        """Return the target of ``service`` if it is leaving."""
+        heartbeat = self._heartbeat
+        if heartbeat is None or heartbeat.service != service:
+            return None
+        return heartbeat.incarnation if heartbeat.leaving else None
 
     async def _execute_once(self, hosted: HostedRequest) -> HostReply:
         """Execute an unsafe request, or wait for the result of its first copy."""
@@ -417,7 +433,7 @@
             raise
         run_seconds = self._loop.time() - dispatched_at
         if isinstance(result, HttpResponse) and admission is self._admission:
-            self._apply_notices(admission, result, dispatched_at)
+            self._apply_notices(heartbeat, result, dispatched_at)
         metrics.MESH_TRY_SECONDS.labels(hosted.service).observe(run_seconds)
         reply = self._reply_of(result, run_seconds)
         failed = reply.outcome is not HostOutcome.ANSWERED or (
@@ -446,14 +462,16 @@
         return reply
 
     def _apply_notices(
-        self, admission: Admission, result: HttpResponse, dispatched_at: float
+        self, heartbeat: TargetHeartbeat, result: HttpResponse, dispatched_at: float
     ) -> None:
         """Apply what a response says about the target itself."""
         decoded = self._codec.decode(result)
         if decoded.misdirected:
             return
         self._has_responded = True
-        self._apply_rate_limit(admission, decoded.rate_limit, dispatched_at)
+        self._apply_rate_limit(self._admission, decoded.rate_limit, dispatched_at)
+        if decoded.leaving and not heartbeat.leaving:
+            self._on_leaving(heartbeat.incarnation)
 
     def _apply_rate_limit(
         self, admission: Admission, rate: float | None, dispatched_at: float
--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -13,7 +13,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from ...ids import ServiceName, TargetId
@@ -145,6 +145,18 @@
         self.current, self._suspended = heartbeat, None
         self._changed(heartbeat)
 
+    def leave(self, incarnation: Incarnation) -> None:
+        """Apply a response in which the target states that it is leaving.
+
+        Its heartbeats may still say otherwise, or arrive late.
+        """
+        self._mark_ended(incarnation)
+        current, unconfirmed = self.current, self._unconfirmed
+        if unconfirmed is not None and unconfirmed.incarnation == incarnation:
+            self._unconfirmed = None
+        if current is not None and current.incarnation == incarnation:
+            self._apply(replace(current, leaving=True))
+
     def remove(self, target: TargetId, start_time_ms: int | None) -> HeartbeatVerdict:
         """Apply the notice that ``target`` is ending and accepts no new requests.
 
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -5,16 +5,17 @@
 request. ``cs-retry`` is set for one that was already dispatched to another target, and
 ``cs-resent`` for the second copy of a request, with the milliseconds since the first.
 ``cs-limit`` is the rate limit of the target, in requests a second: in a request the one
-that the entry daemon knows, in a response the one in force. They are headers of their
-own because builds without them accept a fixed number of fields in ``cs-call``. The
-header ``cs-reply`` of the response carries the outcome and the load report of the
-target, and ``cs-attempt`` the attempt id of the request. Fields are separated by
-commas; those of ``cs-call`` are percent-encoded.
+that the entry daemon knows, in a response the one in force. ``cs-leaving`` has the id
+and the start time of a target that is leaving. They are headers of their own because
+builds without them accept a fixed number of fields in ``cs-call``. The header
+``cs-reply`` of the response carries the outcome and the load report of the target, and
+``cs-attempt`` the attempt id of the request. Fields are separated by commas; texts in
+``cs-call`` and ``cs-leaving`` are percent-encoded.
 """
 
 from urllib.parse import quote, unquote
 
-from ..ids import ServiceName
+from ..ids import ServiceName, TargetId
 from ..state.calls import (
     ClientRequest,
     HostedRequest,
@@ -24,6 +25,7 @@
     HostReply,
     TargetResponse,
 )
+from ..state.hosts import Incarnation
 from .http1 import Header, HttpRequest, HttpResponse
 
 CALL_HEADER = b"cs-call"
@@ -32,6 +34,7 @@
 RETRY_HEADER = b"cs-retry"
 RESENT_HEADER = b"cs-resent"
 LIMIT_HEADER = b"cs-limit"
+LEAVING_HEADER = b"cs-leaving"
 _HOST = b"host"
 _ADDED_REQUEST_HEADERS = frozenset(
     (CALL_HEADER, RETRY_HEADER, RESENT_HEADER, LIMIT_HEADER, _HOST, b"content-length")
@@ -41,6 +44,7 @@
         REPLY_HEADER,
         ATTEMPT_HEADER,
         LIMIT_HEADER,
+        LEAVING_HEADER,
         b"content-length",
         b"connection",
         b"keep-alive",
@@ -63,6 +67,20 @@
     return None if value is None else float(value)
 
 
+def _encode_leaving(incarnation: Incarnation | None) -> tuple[Header, ...]:
+    if incarnation is None:
+        return ()
+    target, start_time_ms = incarnation
+    return ((LEAVING_HEADER, f"{quote(target, safe='')},{start_time_ms}".encode()),)
+
+
+def _decode_leaving(value: bytes | None) -> Incarnation | None:
+    if value is None:
+        return None
+    target, start_time_ms = value.decode("ascii").split(",")
+    return TargetId(unquote(target)), int(start_time_ms)
+
+
 def encode_request(hosted: HostedRequest) -> HttpRequest:
     """Return the HTTP request that carries ``hosted`` to the host daemon."""
     request = hosted.request
@@ -168,6 +186,7 @@
             str(int(load.route_service_seconds * 1000)),
         ]
     own_headers: tuple[Header, ...] = ((REPLY_HEADER, ",".join(fields).encode()),)
+    own_headers += _encode_leaving(reply.leaving_target)
     if load is not None:
         own_headers += _encode_limit(load.rate_limit)
     if attempt_id:
@@ -216,6 +235,7 @@
                 else None
             ),
             run_seconds=int(run_ms) / 1000,
+            leaving_target=_decode_leaving(response.header(LEAVING_HEADER)),
         )
     except (UnicodeDecodeError, ValueError):
         return None
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -149,6 +149,10 @@
         # Otherwise a new incarnation is being registered; the record that is published
         # for it includes this crash.
 
+    def mark_leaving(self, incarnation: Incarnation) -> None:
+        """Take a target out of service whose response states that it is leaving."""
+        self._registration.leave(incarnation)
+
     def publish_suspended(self) -> None:
         """Publish a ready target as suspended because this daemon stops.
 
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -107,6 +107,7 @@
             codec=requests.TARGET_CODEC,
             crashes=self._crashes,
             on_crash=lambda crash: self._own_target.record_crash(crash),
+            on_leaving=lambda target: self._own_target.mark_leaving(target),
             events=events,
         )
         self._fleet = Fleet(
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from ..ids import ServiceName
+from .hosts import Incarnation
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -153,7 +154,8 @@
     """Reply of the host daemon to the entry daemon about one forwarded request.
 
     ``run_seconds`` is the time from the dispatch to the end of the request, 0 if it was
-    not dispatched.
+    not dispatched. ``leaving_target`` is the incarnation of the target beside the host
+    daemon if it is leaving.
     """
 
     outcome: HostOutcome
@@ -161,3 +163,4 @@
     response: TargetResponse | None = None
     load: HostLoad | None = None
     run_seconds: float = 0.0
+    leaving_target: Incarnation | None = None
--- a/src/cassiasail/platform/requests.py
+++ b/src/cassiasail/platform/requests.py
@@ -20,6 +20,7 @@
 _NOT_RUN = b"x-cassiasail-not-run"
 _LOAD_REPORT = b"x-cassiasail-server-load"
 _RATE_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
 _TARGET_ID = b"x-cassiasail-instance-id"
 _HOST = b"host"
 _RETRY_AFTER = b"retry-after"
@@ -151,6 +152,7 @@
         and response.status != _MISDIRECTED_STATUS,
         misdirected=response.status == _MISDIRECTED_STATUS,
         rate_limit=_decode_rate_limit(response.header(_RATE_LIMIT)),
+        leaving=response.header(_LEAVING) == b"1",
     )
 
 
--- a/tests/lib/retry_world.py
+++ b/tests/lib/retry_world.py
@@ -212,6 +212,7 @@
             codec=TARGET_CODEC,
             crashes=CrashHistory(events=null_event_log()),
             on_crash=lambda crash: None,
+            on_leaving=lambda incarnation: None,
             events=null_event_log(),
         )
         dispatcher.set_target(
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -29,7 +29,7 @@
     HostReason,
     HostReply,
 )
-from cassiasail._internal.state.hosts import TargetCrash
+from cassiasail._internal.state.hosts import Incarnation, TargetCrash
 from cassiasail._internal.state.kept_results import (
     KEEP_RESULT_SECONDS,
     MAX_KEPT_RESULT_BYTES,
@@ -103,13 +103,16 @@
 
 
 def dispatcher_for(
-    pool: FakeTargetPool, crashes: list[TargetCrash] | None = None
+    pool: FakeTargetPool,
+    crashes: list[TargetCrash] | None = None,
+    leaving: Callable[[Incarnation], None] = lambda incarnation: None,
 ) -> TargetDispatcher:
     dispatcher = TargetDispatcher(
         pool=pool,  # type: ignore[arg-type]
         codec=TARGET_CODEC,
         crashes=CrashHistory(events=null_event_log()),
         on_crash=crashes.append if crashes is not None else lambda crash: None,
+        on_leaving=leaving,
         events=null_event_log(),
     )
     dispatcher.set_target(HEARTBEAT)
--- a/tests/unit/mesh/test_target_limits.py
+++ b/tests/unit/mesh/test_target_limits.py
@@ -4,15 +4,34 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
+from typing import cast
 
 import pytest
 
 from cassiasail._internal.coordination.mesh.hosting import TargetDispatcher
+from cassiasail._internal.coordination.mesh.registration import TargetRegistration
+from cassiasail._internal.ids import TargetId
+from cassiasail._internal.protocol import peer_calls
 from cassiasail._internal.protocol.exchanges import Address, ResponseMatch
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
-from cassiasail._internal.state.calls import HostedRequest, HostOutcome, HostReply
+from cassiasail._internal.state.calls import (
+    HostedRequest,
+    HostLoad,
+    HostOutcome,
+    HostReason,
+    HostReply,
+    TargetResponse,
+)
+from cassiasail._internal.state.hosts import TargetState
 from devtools.virtual_loop import VirtualLoop
-from tests.unit.mesh.test_hosting import HEARTBEAT, SAFE, dispatcher_for
+from tests.lib.store_versions import at
+from tests.unit.mesh.test_entry import ONE, fleet_of, record
+from tests.unit.mesh.test_hosting import (
+    HEARTBEAT,
+    SAFE,
+    FakeTargetPool,
+    dispatcher_for,
+)
 
 WINDOW_SECONDS = 4.0
 # Time after a limit was first named from which it is enforced by the users.
@@ -253,3 +272,74 @@
         assert dispatcher.load().rate_limit is None
 
     play(script)
+
+
+def test_target_that_says_it_leaves_gets_no_further_request() -> None:
+    """Guards against requests to a target that is about to end."""
+
+    async def script() -> None:
+        target = LimitedTarget(leaving=True)
+        pool = cast(FakeTargetPool, target)
+        registration = TargetRegistration(
+            address=HEARTBEAT.address,
+            changed=lambda heartbeat: dispatcher.set_target(heartbeat),
+            may_get_old_heartbeats=lambda: False,
+        )
+        dispatcher = dispatcher_for(pool, leaving=registration.leave)
+        registration.receive(HEARTBEAT)
+        reply = await dispatcher.execute(hosted(1))
+        assert reply.outcome is HostOutcome.ANSWERED
+        assert reply.leaving_target == HEARTBEAT.incarnation
+        assert registration.state is TargetState.LEAVING
+        # A later heartbeat may have been sent before.
+        registration.receive(replace(HEARTBEAT, sequence=2))
+        refused = await dispatcher.execute(hosted(2))
+        assert refused.reason is HostReason.LEAVING
+        assert len(target.arrivals) == 1
+
+    play(script)
+
+
+def test_entry_daemon_remembers_that_a_target_leaves() -> None:
+    """Guards against requests to a leaving target whose daemon has restarted."""
+
+    async def script() -> None:
+        first, second = record("v"), record("vv")
+        fleet = fleet_of(first, second)
+        view = fleet.view_by_host["v"]
+        fleet.mark_leaving(view, first.incarnation)
+        # Its restarted daemon has stored the record of before once more.
+        fleet.update(first, at(9))
+        assert [each.record.host for each in fleet.ready_hosts(ONE)] == ["vv"]
+        fleet.update(replace(first, start_time_ms=2), at(10))
+        assert len([*fleet.ready_hosts(ONE)]) == 2
+
+    play(script)
+
+
+def test_limit_and_leaving_target_pass_between_daemons() -> None:
+    """Guards against entry daemons that learn neither from a reply."""
+    load = HostLoad(
+        running=1,
+        waiting=2,
+        slots=3,
+        service_seconds=0.5,
+        failure_share=0.0,
+        rate_limit=73.5,
+    )
+    reply = HostReply(
+        outcome=HostOutcome.ANSWERED,
+        response=TargetResponse(status=200, reason=b"OK", headers=(), body=b"x"),
+        load=load,
+        leaving_target=(TargetId("i,1"), 7),
+    )
+    encoded = peer_calls.encode_reply(reply, attempt_id="id")
+    decoded = peer_calls.decode_reply(encoded)
+    assert decoded == replace(reply, response=decoded.response)  # type: ignore[union-attr]
+    assert decoded is not None and decoded.response is not None
+    assert not any(name.startswith(b"cs-l") for name, _ in decoded.response.headers)
+    request = peer_calls.encode_request(hosted(1, known_limit=73.5))
+    received = peer_calls.decode_request(request)
+    assert received is not None
+    assert received.known_limit == 73.5
+    assert not any(name.startswith(b"cs-l") for name, _ in received.request.headers)
