Don't believe a refusal that a target sends again to the same attempt

Reported by operators of similar systems: a target writes an earlier refusal once more on a kept connection. Responses name their attempt, so this was dropped for all later requests but one: a retry of the refused attempt to the same target. A safe one got 503, 'not run', though the target ran it; unsafe ones are not sent to a target twice. The connection of a response that states 'not run' is no longer used again.

test_repeated_refusal_of_the_same_attempt_is_not_believed failed before: 503 for a request that ran. The tests of refusals repeated to other requests (503, 429, 421, 400, with and without an id) and of heads that stop midway, of targets and of daemons, passed before as well: neither can happen here.

--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -414,7 +414,12 @@
 
         def match(response: HttpResponse) -> ResponseMatch:
             echoed = self._codec.attempt_id_of(response)
-            return match_attempt(echoed, request.attempt_id)
+            matched = match_attempt(echoed, request.attempt_id)
+            if matched is ResponseMatch.OWN and not self._codec.decode(response).ran:
+                # A retry has the same attempt id. On this connection a second copy of
+                # this response could not be told from the response to the retry.
+                return ResponseMatch.UNKNOWN
+            return matched
 
         try:
             result = await self._pool.exchange(
