Test that requests late in a planned stop are refused, not passed on

Reported by operators of similar systems: requests that came late in the grace were passed on and cut at its end.

--- a/tests/functional/sidecar/test_planned_stop.py
+++ b/tests/functional/sidecar/test_planned_stop.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from cassiasail._internal.sidecar.runtime import ACCEPT_WHILE_STOPPING_SECONDS
 from devtools.platform_stand_in import PlatformStore, Sidecar, route
 from tests.functional.sidecar.test_sidecar import mesh, run
 
@@ -106,3 +107,42 @@
             assert [attempt for attempt, _ in one.received] == ["slow", "late"]
 
     run(main)
+
+
+def test_request_late_in_the_grace_is_refused_and_not_passed_on(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests that are taken shortly before the end and then cut."""
+
+    async def main() -> None:
+        async with patient_mesh(tmp_path) as (_, (one, two)):
+            hold_slow_requests(one, 30)
+            outbound = two.address_by_use["outbound"]
+            connections = [
+                await asyncio.open_connection(outbound.host, outbound.port)
+                for _ in range(3)
+            ]
+            _, busy = connections[0]
+            busy.write(pipelined("/one/slow"))
+            # Both connections were used and are kept open by their clients.
+            for number, (reader, writer) in enumerate(connections[1:]):
+                writer.write(pipelined(f"/one/early{number}"))
+                await reader.readuntil(f"/one/early{number}".encode())
+            await wait_until_received(one, "slow")
+            two.signal(signal.SIGTERM)
+            await asyncio.sleep(ACCEPT_WHILE_STOPPING_SECONDS + 0.2)
+            for number, (_, writer) in enumerate(connections):
+                if not writer.is_closing():
+                    writer.write(pipelined(f"/one/late{number}"))
+            received = []
+            for reader, writer in connections:
+                data = await asyncio.wait_for(reader.read(), GRACE_SECONDS + 1)
+                received.append([status for status, _ in responses(data)])
+                writer.close()
+            # A closed connection with no response means that the request wasn't read.
+            assert received[0] in ([502, 503], [502])
+            assert all(each in ([503], []) for each in received[1:])
+            attempts = {attempt for attempt, _ in one.received}
+            assert attempts == {"slow", "early0", "early1"}
+
+    run(main)
