Give connections of the HTTP server what they share in place of the server

server.py and server_connection.py imported each other. HttpService has what all connections of a server need; the server hands in the callbacks for its set of connections.

--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -1,17 +1,13 @@
 """HTTP/1.1 server: a listener and its connections."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Iterator
 
 from ...protocol.http1 import HttpRequest, HttpResponse
 from ...state.mesh_config import ClientLimits
 from .memory import MAX_REQUEST_BODIES_BYTES, BodyMemory
 from .server_connection import ServerConnection, UnansweredRequest
-
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
-# Receives a request without its body; returns the seconds from its arrival to its
-# deadline, None if it has none.
-TimeLimit = Callable[[HttpRequest], float | None]
+from .service import Handler, HttpService, TimeLimit
 
 
 class HttpServer:
@@ -32,11 +28,10 @@
         memory: BodyMemory | None = None,
         time_limit: TimeLimit = lambda request: None,
     ) -> None:
-        self.handler = handler
-        self.limits = limits
-        self.time_limit = time_limit
         self.memory = memory or BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
-        self.draining = False
+        self._service = HttpService(
+            handler=handler, limits=limits, time_limit=time_limit, memory=self.memory
+        )
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -59,12 +54,19 @@
         """Listen on ``host`` and ``port``."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(server=self), host, port, backlog=1024
+            lambda: ServerConnection(
+                service=self._service,
+                opened=self.connections.add,
+                closed=self.connections.discard,
+            ),
+            host,
+            port,
+            backlog=1024,
         )
 
     def drain(self) -> None:
         """Respond with ``Connection: close`` from now on; keep listening."""
-        self.draining = True
+        self._service.draining = True
 
     def answer_unfinished(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
         """Cancel the running handlers and send what ``respond`` returns instead.
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -10,7 +10,6 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import httptools
 
@@ -18,9 +17,7 @@
 from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_response
 from .partial_request import PartialRequest, RejectedError
 from .send_queue import unacknowledged_bytes
-
-if TYPE_CHECKING:
-    from .server import HttpServer
+from .service import HttpService
 
 logger = logging.getLogger(__name__)
 
@@ -67,10 +64,20 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection of a client."""
+    """One connection of a client.
+
+    ``opened`` and ``closed`` are called with the connection when it is.
+    """
 
-    def __init__(self, *, server: "HttpServer") -> None:
-        self._server = server
+    def __init__(
+        self,
+        *,
+        service: HttpService,
+        opened: Callable[["ServerConnection"], None],
+        closed: Callable[["ServerConnection"], None],
+    ) -> None:
+        self._service = service
+        self._opened, self._closed = opened, closed
         self._loop = asyncio.get_running_loop()
         self._exchanges: deque[_Exchange] = deque()
         self._partial: PartialRequest | None = None
@@ -103,7 +110,7 @@
         if now != before:
             self._progress_at = self._loop.time()
         stalled_for = self._loop.time() - self._progress_at
-        return now > 0 and stalled_for < self._server.limits().idle_seconds
+        return now > 0 and stalled_for < self._service.limits().idle_seconds
 
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the complete requests whose response was not written yet."""
@@ -128,11 +135,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._server.connections.add(self)
+        self._opened(self)
         self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._server.connections.discard(self)
+        self._closed(self)
         self._closing = True
         if self._timer is not None:
             self._timer.cancel()
@@ -172,11 +179,11 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        server = self._server
+        service = self._service
         self._partial = PartialRequest(
-            arrived_at=self._loop.time(), limits=server.limits(), memory=server.memory
+            arrived_at=self._loop.time(), limits=service.limits(), memory=service.memory
         )
-        self._start_timer(server.limits().header_seconds, self._request_timed_out)
+        self._start_timer(service.limits().header_seconds, self._request_timed_out)
 
     def on_url(self, url: bytes) -> None:
         assert self._partial is not None
@@ -233,7 +240,7 @@
     async def _handle(self, exchange: _Exchange) -> None:
         """Run the handler; a failure of it becomes a response with status 500."""
         try:
-            exchange.response = await self._server.handler(exchange.request)
+            exchange.response = await self._service.handler(exchange.request)
         except Exception:
             logger.exception("request handler failed; responding with status 500")
             exchange.response = HttpResponse(status=500)
@@ -252,9 +259,9 @@
                 transport.abort()
                 return
             close = not exchange.keep_alive or (
-                self._server.draining and not self._exchanges and not self._partial
+                self._service.draining and not self._exchanges and not self._partial
             )
-            limits = self._server.limits()
+            limits = self._service.limits()
             transport.write(
                 encode_response(
                     exchange.response,
@@ -301,7 +308,7 @@
 
     def _start_idle_timer(self) -> None:
         if not self._exchanges and self._partial is None and not self._closing:
-            self._start_timer(self._server.limits().idle_seconds, self._idle_timed_out)
+            self._start_timer(self._service.limits().idle_seconds, self._idle_timed_out)
 
     def _idle_timed_out(self) -> None:
         # A client that still receives a response is not idle.
@@ -324,11 +331,11 @@
 
     def _body_due_at(self, partial: PartialRequest) -> float:
         """Return the loop time by which the whole body must have arrived."""
-        seconds = self._server.time_limit(
+        seconds = self._service.time_limit(
             partial.request(self._parser.get_method(), body=b"")
         )
         if seconds is None:
-            return self._loop.time() + self._server.limits().idle_seconds
+            return self._loop.time() + self._service.limits().idle_seconds
         return partial.arrived_at + seconds
 
     def _start_body_timer(self) -> None:
@@ -343,7 +350,7 @@
         if partial.body_due_at is None:
             partial.body_due_at = self._body_due_at(partial)
         due_in = max(0.0, partial.body_due_at - self._loop.time())
-        idle_seconds = self._server.limits().idle_seconds
+        idle_seconds = self._service.limits().idle_seconds
         self._start_timer(min(idle_seconds, due_in), self._request_timed_out)
 
     def _request_timed_out(self) -> None:
--- /dev/null
+++ b/src/cassiasail/_internal/transport/http1/service.py
@@ -0,0 +1,27 @@
+"""What all connections of one HTTP/1.1 server share."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from ...protocol.http1 import HttpRequest, HttpResponse
+from ...state.mesh_config import ClientLimits
+from .memory import BodyMemory
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
+# Receives a request without its body; returns the seconds from its arrival to its
+# deadline, None if it has none.
+TimeLimit = Callable[[HttpRequest], float | None]
+
+
+@dataclass(slots=True, kw_only=True)
+class HttpService:
+    """How the connections of a server serve requests; see ``HttpServer``.
+
+    While it is ``draining``, responses close their connections.
+    """
+
+    handler: Handler
+    limits: Callable[[], ClientLimits]
+    time_limit: TimeLimit
+    memory: BodyMemory
+    draining: bool = False
