Ask a daemon last that replied that it has no copy

Cause: a daemon that stops tells its followers that it has no copy, but stayed the first source of its data centre and, as the head of its region, the way of the record that says that it is stopping. A daemon that replies that it has no copy now comes last for 2 s, except during the first read, when all may be starting.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -52,6 +52,9 @@
 # How long a VM is avoided whose daemon replied that it has no usable target. Trying it
 # again too early costs one round trip.
 NO_TARGET_AVOID_SECONDS = 0.5
+# How long a VM without a copy comes last as a sync source. A planned stop takes longer
+# than a start; a VM that was asked too early is asked again as one of the last.
+MISSING_COPY_SECONDS = 2.0
 # Number of fallback sync sources, polled for tables when the store is unreachable: VMs
 # of the local data centre, and at each greater distance, where traffic is expensive.
 MAX_LOCAL_FALLBACK_SOURCES = 2
@@ -84,11 +87,6 @@
     return min(MAX_DISTANCE_COST, _COST_PER_KB_BY_DISTANCE[distance] * kilobytes)
 
 
-def _sync_order(record: HostRecord) -> _SyncOrder:
-    is_unready = record.state is not TargetState.READY
-    return is_unready, -record.link_mbps, record.host
-
-
 @dataclass(slots=True, kw_only=True)
 class HostView:
     """State of one VM as known to this daemon; times are loop times in seconds.
@@ -113,6 +111,8 @@
     suspected: bool = False
     # Until this time the VM is chosen only if there is no other.
     avoided_until: float = 0.0
+    # Until this time the VM comes last as a sync source, because it has no copy.
+    without_copy_until: float = 0.0
     removed: bool = False
 
     @property
@@ -120,6 +120,18 @@
         """Whether its target is ready and it was not found unreachable."""
         return self.record.state is TargetState.READY and not self.suspected
 
+    def sync_order(self) -> _SyncOrder:
+        """Return the place of this VM in the order of sync sources."""
+        record = self.record
+        comes_last = record.state is not TargetState.READY or self._lacks_copy
+        return comes_last, -record.link_mbps, record.host
+
+    @property
+    def _lacks_copy(self) -> bool:
+        if self.without_copy_until == 0.0:
+            return False
+        return asyncio.get_running_loop().time() < self.without_copy_until
+
     def expected_wait(self, now: float) -> float:
         """Return the seconds that a request forwarded now would wait for a slot.
 
@@ -258,13 +270,13 @@
 
         The VMs of a data centre are ordered by the rate of their links, the fastest
         first, because the first ones are relays that serve all others. Those without a
-        ready target come last: their daemons may be stopping. The VMs before this one
-        in that order are the preferred sources. The first VM of a data centre prefers
-        those of other data centres of its region instead, in the same order, so that a
-        change crosses the link between two regions once. Some VMs after this one, and
-        some of other data centres, are the fallback sources for when the store is
-        unreachable. VMs whose target is absent are left out: most of them are dead, and
-        polling a dead VM takes until the connection times out.
+        ready target or without a copy come last: their daemons may be stopping. The VMs
+        before this one in that order are the preferred sources. The first VM of a data
+        centre prefers those of other data centres of its region instead, in the same
+        order, so that a change crosses the link between two regions once. Some VMs
+        after this one, and some of other data centres, are the fallback sources for
+        when the store is unreachable. VMs whose target is absent are left out: most of
+        them are dead, and polling a dead VM takes until the connection times out.
         """
         others = [
             view
@@ -275,7 +287,7 @@
             and not view.suspected
         ]
         local = sorted(
-            (_sync_order(view.record), view.address)
+            (view.sync_order(), view.address)
             for view in others
             if view.distance is Distance.SAME_DATA_CENTRE
         )
@@ -304,7 +316,7 @@
         view = self.view_by_host.get(self.own_host)
         if view is None:
             return False, -self.own_link_mbps, self.own_host
-        return _sync_order(view.record)
+        return view.sync_order()
 
     @staticmethod
     def _heads_of_region(
@@ -316,7 +328,7 @@
             if view.distance is not Distance.SAME_REGION:
                 continue
             data_centre = view.record.data_centre
-            candidate = (_sync_order(view.record), view.address)
+            candidate = (view.sync_order(), view.address)
             head = head_by_data_centre.get(data_centre, candidate)
             head_by_data_centre[data_centre] = min(head, candidate)
         return sorted(head_by_data_centre.values())
@@ -428,6 +440,17 @@
         now = asyncio.get_running_loop().time()
         view.avoided_until = now + NO_TARGET_AVOID_SECONDS
 
+    def record_missing_copy(self, address: Address) -> None:
+        """Record that the daemon at ``address`` is starting or stopping.
+
+        It replied that it has no copy of a table. Its record may say so later, because
+        it came through that daemon.
+        """
+        now = asyncio.get_running_loop().time()
+        for view in self.view_by_host.values():
+            if view.address == address:
+                view.without_copy_until = now + MISSING_COPY_SECONDS
+
     def _distance_to(self, record: HostRecord) -> Distance:
         if record.data_centre == self.data_centre:
             return Distance.SAME_DATA_CENTRE
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
@@ -94,10 +95,11 @@
     """Keeps a copy of one table and serves it to followers.
 
     ``changed`` is called with each new, changed or deleted row, ``unreachable`` with
-    the address of each peer that accepted no connection. If the store was restored from
-    a backup, ``restored`` is called with the version of the copy that replaces this
-    one, before ``changed`` gets its rows. ``peers`` returns the current order of
-    sources. If ``peers_known`` is given, the first poll waits for this event, up to
+    the address of each peer that accepted no connection, ``copy_missing`` with that of
+    each one that replied that it has no copy. If the store was restored from a backup,
+    ``restored`` is called with the version of the copy that replaces this one, before
+    ``changed`` gets its rows. ``peers`` returns the current order of sources. If
+    ``peers_known`` is given, the first poll waits for this event, up to
     ``PEERS_KNOWN_TIMEOUT_SECONDS``, and with ``first_start`` also until a peer is
     known.
     """
@@ -114,6 +116,7 @@
         unreachable: Callable[[Address], None],
         events: EventLog,
         random: Random,
+        copy_missing: Callable[[Address], None] = lambda address: None,
         restored: Callable[[StoreVersion], None] | None = None,
         peers_known: asyncio.Event | None = None,
         first_start: bool = False,
@@ -126,6 +129,7 @@
         self._times = times
         self._peers = peers
         self._unreachable = unreachable
+        self._copy_missing = copy_missing
         self._events = events
         self._restored = restored
         self._mirror = TableMirror(changed=changed, restored=self._copy_replaced)
@@ -265,7 +269,7 @@
                     break
             return any_applied
         finally:
-            for task in pending:
+            for task in source_by_task:
                 task.cancel()
 
     def _poll_wait(self, source: Address | None) -> float:
@@ -293,6 +297,10 @@
             return False
         if reply.age > self._times.max_age:
             self._record_source_failure(source, "too_old")
+            has_copy = reply.age < math.inf
+            if source is not None and not has_copy and self.first_copy_read.is_set():
+                # Before, all daemons may be starting.
+                self._copy_missing(source)
             return False
         if not self._mirror.apply(reply.delta):
             self._record_source_failure(source, "behind")
--- a/src/cassiasail/_internal/sidecar/store_view.py
+++ b/src/cassiasail/_internal/sidecar/store_view.py
@@ -152,6 +152,7 @@
             changed=row_changed,
             restored=restored,
             unreachable=self._peer_unreachable,
+            copy_missing=self._fleet.record_missing_copy,
             events=self._events,
             random=self._random,
             peers_known=starts_after,
