--- a/tests/unit/mesh/test_change_delay.py
+++ b/tests/unit/mesh/test_change_delay.py
@@ -190,7 +190,7 @@
     [
         1.0,
         5.0,
-        pytest.param(20.0, marks=pytest.mark.xfail(reason="KNOWN-RED.txt, issue 27")),
+        pytest.param(20.0, marks=pytest.mark.xfail(reason="KNOWN-RED.txt, issue 20")),
     ],
 )
 def test_large_change_is_read_over_a_narrow_link_by_few_daemons(
