Review case 1: orders run twice after a kill and a stand-still

A script with three daemons of the deploy file, an entry and two with workers of the service, and stand-ins for store, workers, clients and the link. The daemon beside the worker that runs twelve orders is killed, its connections go silent, it is started again and stands still for 3.5 s. The second copies of the orders that wait in its socket are refused as not run when it wakes, and run at the other worker.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if an order ran twice, 0 if none did, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec python3 review/1/case.py
