--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -249,6 +249,7 @@
         self.born = 0
         self.sequence = 0
         self.running = 0
+        self.crashed = False
         self._starts = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -260,6 +261,7 @@
         self.instance = f"i-{self.name}-{self._starts}"
         self.born = int(time.time() * 1000)
         self.sequence = self.running = 0
+        self.crashed = False
         self._server = await asyncio.start_server(
             self._serve, self.host, APP, limit=1 << 20
         )
@@ -268,6 +270,7 @@
 
     def crash(self) -> None:
         """End at once: the port is closed and all connections are reset."""
+        self.crashed = True
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -298,6 +301,8 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answer one request; false if its connection ended."""
+        if self.crashed:
+            return False
         first, headers, body = message
         method, target, _ = first.split(" ")
         attempt = headers.get("x-cassiasail-attempt-id", "")
