--- a/src/cassiasail/_internal/coordination/mesh/admission.py
+++ b/src/cassiasail/_internal/coordination/mesh/admission.py
@@ -272,9 +272,9 @@
 
         More urgent ones that came later have taken their places.
         """
-        now = self._loop.time()
         if self._rate_limit.rate is None:
             return
+        now = self._loop.time()
         if now - self._refusals_checked_at < REFUSAL_CHECK_SECONDS:
             return
         self._refusals_checked_at = now
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -261,10 +261,9 @@
                 done, pending = await asyncio.wait(
                     pending, return_when=asyncio.FIRST_COMPLETED
                 )
-                for task in done:
-                    any_applied |= self._apply_reply(
-                        source_by_task[task], task.result()
-                    )
+                for task, source in source_by_task.items():
+                    if task in done:
+                        any_applied |= self._apply_reply(source, task.result())
                 if self._confirmed_at > confirmed_at + CONFIRMED_TOLERANCE_SECONDS:
                     break
             return any_applied
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -13,17 +13,16 @@
 
 from ... import metrics
 from ...events import EventLog
-from ...ids import ServiceName, TargetId
+from ...ids import ServiceName
 from ...protocol.exchanges import (
     Address,
     ExchangeFailed,
     Exchanger,
-    FailureReason,
     ResponseMatch,
     match_attempt,
     parse_address,
 )
-from ...protocol.http1 import HttpRequest, HttpResponse
+from ...protocol.http1 import HttpResponse
 from ...state.calls import (
     ClientRequest,
     HostedRequest,
@@ -31,13 +30,19 @@
     HostOutcome,
     HostReason,
     HostReply,
-    TargetResponse,
 )
 from ...state.hosts import Incarnation, TargetCrash
 from ...state.kept_results import KEEP_RESULT_SECONDS, KeptResults
 from .admission import Admission, RunningMean
 from .crashes import CrashEvidence, CrashHistory
 from .registration import TargetHeartbeat
+from .target_responses import (
+    DecodedTargetResponse,
+    TargetCodec,
+    refused,
+    reply_of_failure,
+    reply_of_response,
+)
 
 # A target responds by itself when the deadline passes; the host daemon closes the
 # connection this much later.
@@ -65,45 +70,6 @@
 _LOST_CONNECTION_REASONS = frozenset(
     (HostReason.TARGET_RESET, HostReason.TARGET_RESPONSE_TRUNCATED)
 )
-_REASON_BY_FAILURE = {
-    FailureReason.CONNECT_FAILED: HostReason.TARGET_DOWN,
-    FailureReason.RESET: HostReason.TARGET_RESET,
-    FailureReason.CUT_SHORT: HostReason.TARGET_RESPONSE_TRUNCATED,
-    FailureReason.MALFORMED: HostReason.TARGET_RESPONSE_CORRUPT,
-    FailureReason.TOO_LARGE: HostReason.TARGET_RESPONSE_CORRUPT,
-    FailureReason.TIMED_OUT: HostReason.TIMED_OUT,
-}
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DecodedTargetResponse:
-    """A target response decoded by the platform adapter.
-
-    ``ran`` is false if the target states that it did not execute the request,
-    ``misdirected`` true if another target than the one addressed responded.
-    ``rate_limit`` is the number of requests a second that the target takes from all
-    daemons together, None if it names none. ``leaving`` is true if the target states
-    that it accepts no new requests.
-    """
-
-    response: TargetResponse
-    ran: bool
-    misdirected: bool
-    rate_limit: float | None = None
-    leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TargetCodec:
-    """Encoding of requests and responses on the connection to the target.
-
-    ``encode`` gets the remaining time in seconds as its last argument.
-    ``attempt_id_of`` returns the attempt id that a response echoes, None without one.
-    """
-
-    encode: Callable[[ClientRequest, TargetId, float], HttpRequest]
-    decode: Callable[[HttpResponse], DecodedTargetResponse]
-    attempt_id_of: Callable[[HttpResponse], str | None]
 
 
 class FailureShare:
@@ -288,7 +254,7 @@
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             if task.cancelled():
-                return _refused(HostReason.EXPIRED)
+                return refused(HostReason.EXPIRED)
             raise
         finally:
             execution.waiters -= 1
@@ -356,7 +322,7 @@
         if refusal is None and self._crashes.is_quarantined(hosted.request):
             refusal = HostReason.QUARANTINED
         if refusal is not None:
-            return _refused(refusal)
+            return refused(refusal)
         admission = self._admission
         if not self._has_responded and hosted.known_limit is not None:
             # This daemon has restarted and others know the limit from before.
@@ -369,7 +335,7 @@
             service_seconds=self._service_time_of(hosted.route).value,
         )
         if refusal is not None:
-            return _refused(refusal)
+            return refused(refusal)
         try:
             # The target may have changed while the request was queued.
             refusal = self._refusal_reason(hosted)
@@ -377,7 +343,7 @@
             if refusal is None and remaining_time <= 0:
                 refusal = HostReason.EXPIRED
             if refusal is not None or admission is not self._admission:
-                return _refused(refusal or HostReason.NO_TARGET)
+                return refused(refusal or HostReason.NO_TARGET)
             if execution is not None:
                 execution.dispatched = True
             self._count_dispatched(hosted, 1)
@@ -415,7 +381,7 @@
         def match(response: HttpResponse) -> ResponseMatch:
             echoed = self._codec.attempt_id_of(response)
             matched = match_attempt(echoed, request.attempt_id)
-            if matched is ResponseMatch.OWN and not self._codec.decode(response).ran:
+            if matched is ResponseMatch.OWN and not self._codec.has_run(response):
                 # A retry has the same attempt id. On this connection a second copy of
                 # this response could not be told from the response to the retry.
                 return ResponseMatch.UNKNOWN
@@ -439,12 +405,12 @@
         run_seconds = self._loop.time() - dispatched_at
         metrics.MESH_TRY_SECONDS.labels(hosted.service).observe(run_seconds)
         if isinstance(result, ExchangeFailed):
-            reply = _reply_of_failure(result, run_seconds)
+            reply = reply_of_failure(result, run_seconds)
         else:
             decoded = self._codec.decode(result)
             if admission is self._admission:
                 self._apply_notices(heartbeat, decoded, dispatched_at)
-            reply = _reply_of_response(decoded, run_seconds)
+            reply = reply_of_response(decoded, run_seconds)
         failed = reply.outcome is not HostOutcome.ANSWERED or (
             reply.response is not None and reply.response.status >= 500
         )
@@ -538,37 +504,3 @@
         )
         self._crashes.record(crash)
         self._on_crash(crash)
-
-
-def _reply_of_failure(result: ExchangeFailed, run_seconds: float) -> HostReply:
-    """Return the reply to the entry daemon for a dispatch without a response."""
-    reason = _REASON_BY_FAILURE[result.reason]
-    if not result.sent:
-        return _refused(reason)
-    return HostReply(outcome=HostOutcome.FAILED, reason=reason, run_seconds=run_seconds)
-
-
-def _reply_of_response(decoded: DecodedTargetResponse, run_seconds: float) -> HostReply:
-    """Return the reply to the entry daemon for a response of the target."""
-    if decoded.misdirected:
-        return HostReply(
-            outcome=HostOutcome.SHED,
-            reason=HostReason.MISDIRECTED,
-            run_seconds=run_seconds,
-        )
-    if not decoded.ran:
-        return HostReply(
-            outcome=HostOutcome.SHED,
-            reason=HostReason.TARGET_FULL,
-            response=decoded.response,
-            run_seconds=run_seconds,
-        )
-    return HostReply(
-        outcome=HostOutcome.ANSWERED,
-        response=decoded.response,
-        run_seconds=run_seconds,
-    )
-
-
-def _refused(reason: HostReason) -> HostReply:
-    return HostReply(outcome=HostOutcome.REFUSED, reason=reason)
--- a/src/cassiasail/_internal/coordination/mesh/rate_limit.py
+++ b/src/cassiasail/_internal/coordination/mesh/rate_limit.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 
-from ...state.calls import MIN_LIMITED_RATE
+from ...state.calls import admitted_rate
 
 # Time over which the rate of arrivals is averaged: long enough for some requests of a
 # rare priority, and short beside the time for which a target is in need.
@@ -65,20 +65,17 @@
         if self.rate is None:
             return 0.0
         self._refill(self._loop.time())
-        left = self._effective_rate - overtaking
+        left = admitted_rate(self.rate) - overtaking
         missing = max(0.0, requests - self._tokens)
         if missing and left <= 0:
             return math.inf
         return missing / left if missing else 0.0
 
-    @property
-    def _effective_rate(self) -> float:
-        return max(MIN_LIMITED_RATE, self.rate or 0.0)
-
     def _refill(self, now: float) -> None:
         if self.rate is not None:
-            added = (now - self._updated_at) * self._effective_rate
-            most = 1.0 + BURST_SECONDS * self._effective_rate
+            rate = admitted_rate(self.rate)
+            added = (now - self._updated_at) * rate
+            most = 1.0 + BURST_SECONDS * rate
             self._tokens = min(most, self._tokens + added)
         self._updated_at = now
 
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -13,6 +13,11 @@
 MIN_LIMITED_RATE = 0.5
 
 
+def admitted_rate(limit: float) -> float:
+    """Return the requests a second that are sent to a target which names ``limit``."""
+    return max(MIN_LIMITED_RATE, limit)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientRequest:
     """A client request as the entry daemon received it.
@@ -136,7 +141,7 @@
         """Return the seconds in which the rate limit admits ``requests``."""
         if self.rate_limit is None:
             return 0.0
-        return requests / max(self.rate_limit, MIN_LIMITED_RATE)
+        return requests / admitted_rate(self.rate_limit)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cassiasail/platform/requests.py
+++ b/src/cassiasail/platform/requests.py
@@ -8,7 +8,10 @@
     NotRun,
     OutcomeUnknown,
 )
-from .._internal.coordination.mesh.hosting import DecodedTargetResponse, TargetCodec
+from .._internal.coordination.mesh.target_responses import (
+    DecodedTargetResponse,
+    TargetCodec,
+)
 from .._internal.ids import ServiceName, TargetId
 from .._internal.protocol.http1 import HttpRequest, HttpResponse, end_to_end
 from .._internal.state.calls import ClientRequest, TargetResponse
@@ -148,14 +151,17 @@
             headers=passed_on,
             body=response.body,
         ),
-        ran=response.header(_NOT_RUN) is None
-        and response.status != _MISDIRECTED_STATUS,
+        ran=_has_run(response),
         misdirected=response.status == _MISDIRECTED_STATUS,
         rate_limit=_decode_rate_limit(response.header(_RATE_LIMIT)),
         leaving=response.header(_LEAVING) == b"1",
     )
 
 
+def _has_run(response: HttpResponse) -> bool:
+    return response.header(_NOT_RUN) is None and response.status != _MISDIRECTED_STATUS
+
+
 def _decode_rate_limit(value: bytes | None) -> float | None:
     """Return the requests a second, None if the header is missing or malformed."""
     try:
@@ -175,4 +181,5 @@
     encode=_encode_target_request,
     decode=_decode_target_response,
     attempt_id_of=_decode_attempt_id,
+    has_run=_has_run,
 )
--- a/tests/functional/sidecar/test_faulty_answers.py
+++ b/tests/functional/sidecar/test_faulty_answers.py
@@ -14,6 +14,7 @@
     RawTargetSidecar,
     answer_of_peer,
     answer_of_target,
+    raw_target_sidecars,
     run,
     sidecar_mesh,
     status_of,
@@ -136,13 +137,7 @@
     """
     servers = [RepeatedRefusals(status=status, echo=echo) for _ in range(2)]
 
-    def sidecars(store: PlatformStore) -> list[Sidecar]:
-        return [
-            RawTargetSidecar(
-                store=store, name=f"vm-{number}", service="one", handle=server.handle
-            )
-            for number, server in enumerate(servers)
-        ]
+    sidecars = raw_target_sidecars(*(server.handle for server in servers))
 
     async def main() -> None:
         async with sidecar_mesh(tmp_path, sidecars) as (_, vms):
@@ -178,12 +173,8 @@
         else:
             await server.handle(request, writer)
 
-    def sidecars(store: PlatformStore) -> list[Sidecar]:
-        return [
-            RawTargetSidecar(store=store, name="vm-1", service="one", handle=handle)
-        ]
-
     async def main() -> None:
+        sidecars = raw_target_sidecars(handle)
         async with sidecar_mesh(tmp_path, sidecars) as (_, (vm,)):
             # Requests that earn the budget of some retries.
             for number in range(100):
--- a/tests/functional/sidecar/test_late_answers.py
+++ b/tests/functional/sidecar/test_late_answers.py
@@ -11,10 +11,10 @@
     AnswerEncoder,
     RawPeer,
     RawRequest,
-    RawTargetSidecar,
     answer_of_peer,
     answer_of_target,
     plain_sidecars,
+    raw_target_sidecars,
     run,
     sidecar_mesh,
 )
@@ -82,13 +82,7 @@
         for echo in (True, False)
     ]
 
-    def sidecars(store: PlatformStore) -> list[Sidecar]:
-        return [
-            RawTargetSidecar(
-                store=store, name=f"vm-{number}", service="one", handle=server.handle
-            )
-            for number, server in enumerate(servers)
-        ]
+    sidecars = raw_target_sidecars(*(server.handle for server in servers))
 
     async def main() -> None:
         async with sidecar_mesh(tmp_path, sidecars) as (_, vms):
--- a/tests/lib/sidecar_mesh.py
+++ b/tests/lib/sidecar_mesh.py
@@ -241,6 +241,16 @@
         )
 
 
+def raw_target_sidecars(
+    *handlers: RawHandler,
+) -> Callable[[PlatformStore], list[Sidecar]]:
+    """Return a function that creates one sidecar of service one per handler."""
+    return lambda store: [
+        RawTargetSidecar(store=store, name=f"vm-{number}", service="one", handle=handle)
+        for number, handle in enumerate(handlers)
+    ]
+
+
 class RawPeer:
     """A VM whose daemon sends the bytes that ``handle`` writes, beside one target."""
 
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -96,6 +96,9 @@
         self.requests.append(request)
         self.on_request()
         await asyncio.sleep(self.seconds)
+        return self.respond()
+
+    def respond(self) -> HttpResponse | ExchangeFailed:
         return self.result
 
     def close_idle(self, address: Address) -> None:
--- a/tests/unit/mesh/test_target_limits.py
+++ b/tests/unit/mesh/test_target_limits.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
-from typing import cast
 
 import pytest
 
@@ -12,8 +11,7 @@
 from cassiasail._internal.coordination.mesh.registration import TargetRegistration
 from cassiasail._internal.ids import TargetId
 from cassiasail._internal.protocol import peer_calls
-from cassiasail._internal.protocol.exchanges import Address, ResponseMatch
-from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
+from cassiasail._internal.protocol.http1 import HttpResponse
 from cassiasail._internal.state.calls import (
     HostedRequest,
     HostLoad,
@@ -54,27 +52,19 @@
 
 
 @dataclass
-class LimitedTarget:
+class LimitedTarget(FakeTargetPool):
     """A target whose responses name ``limit`` as long as it is not None."""
 
+    seconds: float = 0.03
     limit: str | None = None
     leaving: bool = False
-    seconds: float = 0.03
     arrivals: list[float] = field(default_factory=list)
-    paths: list[bytes] = field(default_factory=list)
 
-    async def exchange(
-        self,
-        address: Address,
-        request: HttpRequest,
-        *,
-        timeout: float,
-        match: Callable[[HttpResponse], ResponseMatch] | None = None,
-        max_idle: float | None = None,
-    ) -> HttpResponse:
-        self.arrivals.append(asyncio.get_running_loop().time())
-        self.paths.append(request.target)
-        await asyncio.sleep(self.seconds)
+    def __post_init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.on_request = lambda: self.arrivals.append(loop.time())
+
+    def respond(self) -> HttpResponse:
         headers: tuple[tuple[bytes, bytes], ...] = ()
         if self.limit is not None:
             headers += ((b"server-limit", self.limit.encode()),)
@@ -82,9 +72,6 @@
             headers += ((b"server-leaving", b"1"),)
         return HttpResponse(status=200, headers=headers, body=b"done")
 
-    def close_idle(self, address: Address) -> None:
-        pass
-
 
 def hosted(number: int, **changes: object) -> HostedRequest:
     """Return request ``number`` with a path of its own."""
@@ -136,7 +123,7 @@
 
 
 def start(target: LimitedTarget) -> TargetDispatcher:
-    dispatcher = dispatcher_for(target)  # type: ignore[arg-type]
+    dispatcher = dispatcher_for(target)
     dispatcher.set_target(replace(HEARTBEAT, slots=18))
     return dispatcher
 
@@ -282,13 +269,12 @@
 
     async def script() -> None:
         target = LimitedTarget(leaving=True)
-        pool = cast(FakeTargetPool, target)
         registration = TargetRegistration(
             address=HEARTBEAT.address,
             changed=lambda heartbeat: dispatcher.set_target(heartbeat),
             may_get_old_heartbeats=lambda: False,
         )
-        dispatcher = dispatcher_for(pool, leaving=registration.leave)
+        dispatcher = dispatcher_for(target, leaving=registration.leave)
         registration.receive(HEARTBEAT)
         reply = await dispatcher.execute(hosted(1))
         assert reply.outcome is HostOutcome.ANSWERED
