Decide by the start of a daemon whether it may have run an order

Cause: the host daemon took the first copy of an order for one that it would know if its own uptime was 2 s above the time between the two copies. The entry daemon measures that time up to the sending of the second copy, and the host daemon its uptime at the reading of it. The copy waits unread in between, as long as the daemon stands still.

Change: each start of a daemon has a random identity, written to its record as a second CBOR item that earlier builds don't read. A second copy names the start that its entry daemon knew when it sent the first. Only that start or a later one can have received the first copy, so another start reports its outcome as unknown, and the start itself knows. No allowance is needed, and a copy whose first one was sent to this start on a dead connection runs without a wait. Results were forgotten by the same comparison; entry daemons now number their unsafe requests, and what was dropped is known by number. The time for which results are kept, here and at entry daemons, counts only while the process runs: timers that became due during a stand-still ran before the copies were read.

--- a/devtools/virtual_loop.py
+++ b/devtools/virtual_loop.py
@@ -34,3 +34,7 @@
 
     def time(self) -> float:
         return self._virtual_selector.now
+
+    def advance(self, seconds: float) -> None:
+        """Advance the time at once, as for a process that stands still."""
+        self._virtual_selector.now += seconds
--- a/src/cassiasail/_internal/coordination/mesh/copies.py
+++ b/src/cassiasail/_internal/coordination/mesh/copies.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
+from ...awake_clock import AwakeClock
 from ...state.kept_results import KEEP_RESULT_SECONDS, KeptResults
 
 Response = TypeVar("Response")
@@ -36,10 +37,15 @@
     """
 
     def __init__(
-        self, *, unknown: Response, body_bytes: Callable[[Response], int | None]
+        self,
+        *,
+        unknown: Response,
+        body_bytes: Callable[[Response], int | None],
+        awake: AwakeClock,
     ) -> None:
         self._unknown = unknown
         self._body_bytes = body_bytes
+        self._awake = awake
         self._shared_by_key: dict[Hashable, _Shared[Response]] = {}
         self._kept = KeptResults(drop=self._drop_response)
         self._loop = asyncio.get_running_loop()
@@ -91,7 +97,7 @@
             del self._shared_by_key[key]
             return
         self._kept.keep(key, size)
-        self._loop.call_later(KEEP_RESULT_SECONDS, self._drop, key)
+        self._awake.call_later(KEEP_RESULT_SECONDS, lambda: self._drop(key))
 
     def _drop_response(self, key: Hashable) -> None:
         self._shared_by_key[key].response = None
--- a/src/cassiasail/_internal/coordination/mesh/entry.py
+++ b/src/cassiasail/_internal/coordination/mesh/entry.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from ... import metrics
+from ...awake_clock import AwakeClock
 from ...events import EventLog
 from ...ids import ServiceName
 from ...state.calls import (
@@ -152,6 +153,7 @@
         suspect: Callable[[HostView, str], None],
         target_retry_share: Callable[[], float],
         crashes: CrashHistory,
+        awake: AwakeClock,
         events: EventLog,
         random: Random,
     ) -> None:
@@ -166,7 +168,9 @@
         self._random = random
         self._split = SplitState()
         self._copies = RequestCopies[FinalResponse](
-            unknown=OutcomeUnknown(reason=HostReason.PEER_LOST), body_bytes=_body_bytes
+            unknown=OutcomeUnknown(reason=HostReason.PEER_LOST),
+            body_bytes=_body_bytes,
+            awake=awake,
         )
         self._loop = asyncio.get_running_loop()
 
--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -1,8 +1,10 @@
 """Forwards a request to a host daemon and decodes its reply."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from ...clock import Clock
+from ...ids import DaemonStart
 from ...protocol import peer_calls
 from ...protocol.exchanges import (
     Address,
@@ -13,7 +15,13 @@
     match_attempt,
 )
 from ...protocol.http1 import HttpResponse
-from ...state.calls import HostedRequest, HostOutcome, HostReason, HostReply
+from ...state.calls import (
+    HostedRequest,
+    HostOutcome,
+    HostReason,
+    HostReply,
+    RequestNumber,
+)
 
 # Added to the remaining time of the request: the host daemon times requests out itself,
 # and its reply needs time to arrive.
@@ -34,24 +42,33 @@
 
 
 async def forward(
-    pool: Exchanger, address: Address, hosted: HostedRequest, *, clock: Clock
+    pool: Exchanger,
+    address: Address,
+    hosted: HostedRequest,
+    *,
+    host_start: DaemonStart | None,
+    next_number: Callable[[], RequestNumber],
+    clock: Clock,
 ) -> HostReply:
     """Forward ``hosted`` to the host daemon at ``address`` and return its reply.
 
-    An unsafe request whose connection is lost is sent once more. This can't execute it
-    twice, because the host daemon runs each attempt id only once, and a copy that an
-    earlier incarnation of it may have run not at all.
+    ``host_start`` is the start of that daemon in its newest record, None if the record
+    has none. An unsafe request whose connection is lost is sent once more. This can't
+    execute it twice, because the host daemon runs each attempt id only once, and a copy
+    that another start of it may have run not at all.
     """
+    if hosted.safe or not hosted.request.attempt_id:
+        return await _forward_once(pool, address, hosted)
+    hosted = replace(hosted, number=next_number())
     sent_at = clock.now()
     reply = await _forward_once(pool, address, hosted)
     if reply.reason is not HostReason.PEER_LOST:
         return reply
-    if hosted.safe or not hosted.request.attempt_id:
-        return reply
     resent_after = clock.now() - sent_at
     copy = replace(
         hosted,
         resent_after=resent_after,
+        first_sent_to=host_start,
         remaining_time=hosted.remaining_time - resent_after,
     )
     if copy.remaining_time <= 0:
--- a/src/cassiasail/_internal/ids.py
+++ b/src/cassiasail/_internal/ids.py
@@ -12,6 +12,8 @@
 Region = NewType("Region", str)
 Version = NewType("Version", int)
 EditId = NewType("EditId", str)
+# Identifies one start of the process of a sidecar daemon.
+DaemonStart = NewType("DaemonStart", str)
 
 # Version of a daemon that has not received a configuration yet.
 NO_VERSION = Version(0)
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -4,6 +4,8 @@
 adds the fields from which the host daemon decides whether and when to dispatch the
 request. ``cs-retry`` is set for one that was already dispatched to another target, and
 ``cs-resent`` for the second copy of a request, with the milliseconds since the first.
+``cs-first-sent-to`` has the start of the host daemon that the entry daemon knew when it
+sent the first copy, and ``cs-number`` its own start and the number of the request.
 ``cs-limit`` is the rate limit of the target, in requests a second: in a request the one
 that the entry daemon knows, in a response the one in force. ``cs-leaving`` has the id
 and the start time of a target that is leaving. They are headers of their own because
@@ -15,7 +17,7 @@
 
 from urllib.parse import quote, unquote
 
-from ..ids import ServiceName, TargetId
+from ..ids import DaemonStart, ServiceName, TargetId
 from ..state.calls import (
     ClientRequest,
     HostedRequest,
@@ -23,6 +25,7 @@
     HostOutcome,
     HostReason,
     HostReply,
+    RequestNumber,
     TargetResponse,
 )
 from ..state.hosts import Incarnation
@@ -33,11 +36,22 @@
 ATTEMPT_HEADER = b"cs-attempt"
 RETRY_HEADER = b"cs-retry"
 RESENT_HEADER = b"cs-resent"
+FIRST_SENT_TO_HEADER = b"cs-first-sent-to"
+NUMBER_HEADER = b"cs-number"
 LIMIT_HEADER = b"cs-limit"
 LEAVING_HEADER = b"cs-leaving"
 _HOST = b"host"
 _ADDED_REQUEST_HEADERS = frozenset(
-    (CALL_HEADER, RETRY_HEADER, RESENT_HEADER, LIMIT_HEADER, _HOST, b"content-length")
+    (
+        CALL_HEADER,
+        RETRY_HEADER,
+        RESENT_HEADER,
+        FIRST_SENT_TO_HEADER,
+        NUMBER_HEADER,
+        LIMIT_HEADER,
+        _HOST,
+        b"content-length",
+    )
 )
 _ADDED_REPLY_HEADERS = frozenset(
     (
@@ -81,6 +95,19 @@
     return TargetId(unquote(target)), int(start_time_ms)
 
 
+def _encode_number(number: RequestNumber | None) -> tuple[Header, ...]:
+    if number is None:
+        return ()
+    return ((NUMBER_HEADER, f"{number.entry_start},{number.number}".encode()),)
+
+
+def _decode_number(value: bytes | None) -> RequestNumber | None:
+    if value is None:
+        return None
+    entry_start, number = value.decode("ascii").split(",")
+    return RequestNumber(DaemonStart(entry_start), int(number))
+
+
 def encode_request(hosted: HostedRequest) -> HttpRequest:
     """Return the HTTP request that carries ``hosted`` to the host daemon."""
     request = hosted.request
@@ -100,6 +127,8 @@
     resent: tuple[Header, ...] = ()
     if hosted.resent_after is not None:
         resent = ((RESENT_HEADER, b"%d" % int(hosted.resent_after * 1000)),)
+    if hosted.first_sent_to is not None:
+        resent += ((FIRST_SENT_TO_HEADER, hosted.first_sent_to.encode()),)
     own_headers = ((_HOST, request.host.encode()), (CALL_HEADER, value))
     return HttpRequest(
         method=request.method,
@@ -108,6 +137,7 @@
             *own_headers,
             *retry,
             *resent,
+            *_encode_number(hosted.number),
             *_encode_limit(hosted.known_limit),
             *request.headers,
         ),
@@ -134,6 +164,7 @@
             attempt_id,
         ) = fields
         resent_ms = request.header(RESENT_HEADER)
+        first_sent_to = request.header(FIRST_SENT_TO_HEADER)
         headers = tuple(
             pair for pair in request.headers if pair[0] not in _ADDED_REQUEST_HEADERS
         )
@@ -157,6 +188,12 @@
             late=late == _TRUE,
             retry=request.header(RETRY_HEADER) is not None,
             resent_after=None if resent_ms is None else int(resent_ms) / 1000,
+            first_sent_to=(
+                None
+                if first_sent_to is None
+                else DaemonStart(first_sent_to.decode("ascii"))
+            ),
+            number=_decode_number(request.header(NUMBER_HEADER)),
             known_limit=_decode_limit(request.header(LIMIT_HEADER)),
             remaining_time=int(remaining_ms) / 1000,
             max_wait=int(max_wait_ms) / 1000,
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -17,6 +17,7 @@
     TargetRegistration,
 )
 from ..events import EventLog
+from ..ids import DaemonStart
 from ..protocol.exchanges import (
     ExchangeFailed,
     Exchanger,
@@ -74,9 +75,11 @@
         fleet: Fleet,
         publisher: RecordPublisher,
         pool: Exchanger,
+        daemon_start: DaemonStart,
         events: EventLog,
     ) -> None:
         self._settings = settings
+        self._daemon_start = daemon_start
         self._config_once_loaded = config_once_loaded
         self._dispatcher = dispatcher
         self._fleet = fleet
@@ -264,6 +267,7 @@
             state=state,
             link_mbps=int(settings.link_mbps),
             crashes=self._crashes,
+            daemon_start=self._daemon_start,
         )
         self._fleet.update(record, OWN_RECORD_VERSION)
         self._publisher.set_wanted(encode_record(record))
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -1,7 +1,9 @@
 """Creates and connects the components of one sidecar daemon."""
 
 import asyncio
+import itertools
 import logging
+import os
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -11,6 +13,7 @@
 from ...platform.settings import SidecarSettings
 from ...platform.table_store import TableStore
 from .. import metrics
+from ..awake_clock import AwakeClock
 from ..background import BackgroundTasks
 from ..clock import SystemClock
 from ..coordination.mesh import peers
@@ -23,10 +26,11 @@
 from ..coordination.mesh.pruning import RecordPruner
 from ..coordination.mesh.publishing import RecordPublisher
 from ..events import EventLog
+from ..ids import DaemonStart
 from ..protocol import peer_calls, table_sync
 from ..protocol.exchanges import Address
 from ..protocol.http1 import HttpRequest, HttpResponse
-from ..state.calls import HostedRequest, HostReason, HostReply
+from ..state.calls import HostedRequest, HostReason, HostReply, RequestNumber
 from ..state.hosts import TargetState
 from ..state.mesh_config import ClientLimits, MeshConfig
 from ..transport.http1.memory import (
@@ -80,6 +84,9 @@
 # Limits of all listeners except the client listener, which uses these only until a
 # configuration is loaded. Other daemons close idle connections before this one does.
 DEFAULT_LIMITS = ClientLimits()
+# Random bytes that identify a start of the daemon: enough for no two starts of a fleet
+# to be the same in its life.
+DAEMON_START_BYTES = 8
 # Delay before background work that ended or failed is restarted.
 RESTART_DELAY_SECONDS = 1.0
 
@@ -97,6 +104,9 @@
         self._loop = asyncio.get_running_loop()
         self._random = Random()
         self._clock = SystemClock()
+        self._awake = AwakeClock()
+        self._daemon_start = DaemonStart(os.urandom(DAEMON_START_BYTES).hex())
+        self._request_numbers = itertools.count(1)
         self._stopping = False
         self._refusing_clients = False
         self._build_pools()
@@ -108,6 +118,8 @@
             crashes=self._crashes,
             on_crash=lambda crash: self._own_target.record_crash(crash),
             on_leaving=lambda target: self._own_target.mark_leaving(target),
+            daemon_start=self._daemon_start,
+            awake=self._awake,
             events=events,
         )
         self._fleet = Fleet(
@@ -135,6 +147,7 @@
             suspect=self._prober.suspect,
             target_retry_share=lambda: self._dispatcher.retry_share,
             crashes=self._crashes,
+            awake=self._awake,
             events=events,
             random=self._random,
         )
@@ -187,6 +200,7 @@
             fleet=self._fleet,
             publisher=self._publisher,
             pool=self._target_pool,
+            daemon_start=self._daemon_start,
             events=self._events,
         )
         self._store_view = StoreView(
@@ -244,6 +258,7 @@
         ):
             await server.start(settings.vm_address, address.port)
         for work in (
+            self._awake.run,
             self._store_view.run,
             self._publisher.run,
             self._own_target.monitor_heartbeats,
@@ -255,6 +270,7 @@
             host=settings.host,
             data_centre=settings.data_centre,
             service=settings.service,
+            daemon_start=self._daemon_start,
         )
 
     async def stop(self) -> None:
@@ -407,9 +423,17 @@
         if host_view.record.host == self._settings.host:
             return await self._dispatcher.execute(hosted)
         return await peers.forward(
-            self._peer_pool, host_view.address, hosted, clock=self._clock
+            self._peer_pool,
+            host_view.address,
+            hosted,
+            host_start=host_view.record.daemon_start,
+            next_number=self._next_request_number,
+            clock=self._clock,
         )
 
+    def _next_request_number(self) -> RequestNumber:
+        return RequestNumber(self._daemon_start, next(self._request_numbers))
+
     def _peer_unreachable(self, address: Address) -> None:
         """Mark the VMs with this address as suspect."""
         for host_view in self._fleet.view_by_host.values():
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
-from ..ids import ServiceName
+from ..ids import DaemonStart, ServiceName
 from .hosts import Incarnation
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -41,6 +42,16 @@
     remaining_time: float | None
 
 
+class RequestNumber(NamedTuple):
+    """Number of an unsafe request among those of one start of its entry daemon.
+
+    It rises with each request that the entry daemon forwards; all copies have the same.
+    """
+
+    entry_start: DaemonStart
+    number: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostedRequest:
     """A client request as the entry daemon forwards it to the host daemon.
@@ -50,8 +61,10 @@
     will probably miss the latency objective of its route. A ``safe`` request may be
     executed more than once. A ``retry`` was already dispatched to a target before.
     ``resent_after`` is set for a second copy, sent because the connection of the first
-    was lost: the seconds between the two. ``known_limit`` is the rate limit of the
-    target in the last load report that the entry daemon has from it.
+    was lost: the seconds between the two. ``first_sent_to`` is the start of the host
+    daemon that its entry daemon knew when it sent the first copy, None if it knew none.
+    ``number`` is set for unsafe requests with an attempt id. ``known_limit`` is the
+    rate limit of the target in the last load report that the entry daemon has from it.
     """
 
     request: ClientRequest
@@ -64,6 +77,8 @@
     max_wait: float
     retry: bool = False
     resent_after: float | None = None
+    first_sent_to: DaemonStart | None = None
+    number: RequestNumber | None = None
     known_limit: float | None = None
 
 
--- a/src/cassiasail/_internal/state/hosts.py
+++ b/src/cassiasail/_internal/state/hosts.py
@@ -6,10 +6,11 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from io import BytesIO
 
 import cbor2
 
-from ..ids import DataCentre, Region, ServiceName, TargetId
+from ..ids import DaemonStart, DataCentre, Region, ServiceName, TargetId
 from .fingerprints import Fingerprint
 
 HostId = str
@@ -50,7 +51,8 @@
     """One VM, with the address of its daemon and its target.
 
     ``link_mbps`` is the rate of the VM's link in Mbit/s, ``crashes`` are the latest
-    crashes of its targets.
+    crashes of its targets. ``daemon_start`` is the start of the daemon that wrote the
+    record, None if its build doesn't write it.
     """
 
     host: HostId
@@ -64,6 +66,7 @@
     state: TargetState
     link_mbps: int
     crashes: tuple[TargetCrash, ...] = ()
+    daemon_start: DaemonStart | None = None
 
     @property
     def incarnation(self) -> Incarnation:
@@ -72,8 +75,11 @@
 
 
 def encode_record(record: HostRecord) -> bytes:
-    """Return the stored form of ``record``."""
-    return cbor2.dumps(
+    """Return the stored form of ``record``: two CBOR items, one after the other.
+
+    Builds without the second item, the list of what was added later, read the first.
+    """
+    first = cbor2.dumps(
         [
             record.address,
             record.data_centre,
@@ -90,12 +96,15 @@
             ],
         ]
     )
+    added = () if record.daemon_start is None else (record.daemon_start,)
+    return first + cbor2.dumps(added) if added else first
 
 
 def decode_record(host: HostId, data: bytes) -> HostRecord | None:
     """Return the record of ``host``, None if ``data`` is malformed."""
     try:
-        fields = cbor2.loads(data)
+        decoder = cbor2.CBORDecoder(BytesIO(data))
+        fields = decoder.decode()
         address, data_centre, region, service, target, start_time_ms, *more = fields
         slots, state, link, crashes = more
         texts = (address, data_centre, region, service, target)
@@ -117,11 +126,23 @@
             state=TargetState(state),
             link_mbps=link,
             crashes=tuple(_decode_crash(*each) for each in crashes),
+            daemon_start=_decode_daemon_start(decoder),
         )
     except (cbor2.CBORDecodeError, TypeError, ValueError):
         return None
 
 
+def _decode_daemon_start(decoder: cbor2.CBORDecoder) -> DaemonStart | None:
+    """Return the start in the second item, None if there is no such item."""
+    try:
+        added = decoder.decode()
+    except cbor2.CBORDecodeEOF:
+        return None
+    if not isinstance(added, list) or not added or not isinstance(added[0], str):
+        raise ValueError("start of the daemon is not a text")
+    return DaemonStart(added[0])
+
+
 def _decode_crash(
     target: object, start_time_ms: object, fingerprints: object
 ) -> TargetCrash:
--- a/tests/lib/retry_world.py
+++ b/tests/lib/retry_world.py
@@ -12,13 +12,20 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
+from cassiasail._internal.awake_clock import AwakeClock
 from cassiasail._internal.coordination.mesh.balancing import Fleet, HostView
 from cassiasail._internal.coordination.mesh.budget import RetryBudget
 from cassiasail._internal.coordination.mesh.crashes import CrashHistory
 from cassiasail._internal.coordination.mesh.entry import RequestRouter
 from cassiasail._internal.coordination.mesh.hosting import TargetDispatcher
 from cassiasail._internal.coordination.mesh.registration import TargetHeartbeat
-from cassiasail._internal.ids import DataCentre, Region, ServiceName, TargetId
+from cassiasail._internal.ids import (
+    DaemonStart,
+    DataCentre,
+    Region,
+    ServiceName,
+    TargetId,
+)
 from cassiasail._internal.protocol.exchanges import (
     Address,
     ExchangeFailed,
@@ -213,6 +220,8 @@
             crashes=CrashHistory(events=null_event_log()),
             on_crash=lambda crash: None,
             on_leaving=lambda incarnation: None,
+            daemon_start=DaemonStart(record.host),
+            awake=AwakeClock(),
             events=null_event_log(),
         )
         dispatcher.set_target(
@@ -248,6 +257,7 @@
             suspect=lambda view, reason: None,
             target_retry_share=lambda: self.dispatchers[number].retry_share,
             crashes=CrashHistory(events=null_event_log()),
+            awake=AwakeClock(),
             events=null_event_log(),
             random=self.random,
         )
--- a/tests/unit/mesh/test_copies.py
+++ b/tests/unit/mesh/test_copies.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cassiasail._internal.awake_clock import AwakeClock
 from cassiasail._internal.coordination.mesh.copies import RequestCopies
 from cassiasail._internal.state.kept_results import (
     KEEP_RESULT_SECONDS,
@@ -34,6 +35,7 @@
     return RequestCopies(
         unknown=UNKNOWN,
         body_bytes=lambda response: None if response == NOT_RUN else len(response),
+        awake=AwakeClock(),
     )
 
 
--- a/tests/unit/mesh/test_entry.py
+++ b/tests/unit/mesh/test_entry.py
@@ -8,6 +8,7 @@
 import cbor2
 import pytest
 
+from cassiasail._internal.awake_clock import AwakeClock
 from cassiasail._internal.coordination.mesh.balancing import (
     LOAD_REPORT_MAX_AGE_SECONDS,
     Fleet,
@@ -27,6 +28,7 @@
     RequestRouter,
 )
 from cassiasail._internal.ids import (
+    DaemonStart,
     DataCentre,
     Region,
     TargetId,
@@ -152,6 +154,7 @@
                 suspect=self._suspect,
                 target_retry_share=lambda: 0.0,
                 crashes=self._crash_history(),
+                awake=AwakeClock(),
                 events=null_event_log(),
                 random=Random(1),
             )
@@ -510,3 +513,14 @@
     fields = cbor2.loads(encode_record(whole))
     fields[-1] = [["i", 1, ["text"]]]
     assert decode_record("v", cbor2.dumps(fields)) is None
+
+
+def test_host_record_names_the_start_of_its_daemon() -> None:
+    """Guards against VMs that daemons of other builds lose during an update."""
+    named = replace(record("v"), daemon_start=DaemonStart("started"))
+    assert decode_record("v", encode_record(named)) == named
+    unnamed = encode_record(record("v"))
+    assert decode_record("v", unnamed) == record("v")
+    # Builds that don't know the start read the first item only.
+    assert cbor2.loads(encode_record(named)) == cbor2.loads(unnamed)
+    assert decode_record("v", unnamed + cbor2.dumps([7])) is None
--- a/tests/unit/mesh/test_peers.py
+++ b/tests/unit/mesh/test_peers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cassiasail._internal.coordination.mesh import peers
-from cassiasail._internal.ids import ServiceName
+from cassiasail._internal.ids import DaemonStart, ServiceName
 from cassiasail._internal.protocol import peer_calls
 from cassiasail._internal.protocol.exchanges import (
     Address,
@@ -22,6 +22,7 @@
     HostOutcome,
     HostReason,
     HostReply,
+    RequestNumber,
     TargetResponse,
 )
 from tests.lib.clocks import VirtualClock
@@ -84,6 +85,8 @@
             pool,  # type: ignore[arg-type]
             Address("10.0.0.1", 80),
             hosted,
+            host_start=None,
+            next_number=lambda: RequestNumber(DaemonStart("entry"), 1),
             clock=VirtualClock(),
         )
     )
