Confirm a heartbeat that waited while its daemon stood still

Same cause as the orders that ran twice: for 15 s after a start heartbeats from before it may arrive late, so the first one is applied only once a health check confirms it. The 15 s were compared with the uptime, which includes the time for which the daemon stood still and the heartbeat waited unread. A daemon that was killed after it acknowledged that its target leaves, and stood still after its new start, could put the leaving target back into service.

The time now counts only while the process runs.

--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -7,6 +7,7 @@
 
 from ...platform import health, heartbeats, requests
 from ...platform.settings import SidecarSettings
+from ..awake_clock import AwakeClock
 from ..background import BackgroundTasks
 from ..coordination.mesh.balancing import Fleet
 from ..coordination.mesh.hosting import TargetDispatcher
@@ -76,10 +77,12 @@
         publisher: RecordPublisher,
         pool: Exchanger,
         daemon_start: DaemonStart,
+        awake: AwakeClock,
         events: EventLog,
     ) -> None:
         self._settings = settings
         self._daemon_start = daemon_start
+        self._awake = awake
         self._config_once_loaded = config_once_loaded
         self._dispatcher = dispatcher
         self._fleet = fleet
@@ -87,7 +90,8 @@
         self._pool = pool
         self._events = events
         self._loop = asyncio.get_running_loop()
-        self._started_at = self._last_heartbeat_at = self._loop.time()
+        self._started_at = awake.now()
+        self._last_heartbeat_at = self._loop.time()
         self._background = BackgroundTasks(failed=self._health_check_failed)
         # Last heartbeat that was applied; kept after its target has ended.
         self._last_applied: TargetHeartbeat | None = None
@@ -189,8 +193,11 @@
                 self._registration.suspend()
 
     def _may_get_old_heartbeats(self) -> bool:
-        """Whether heartbeats from before a restart of this daemon may still arrive."""
-        uptime = self._loop.time() - self._started_at
+        """Whether heartbeats from before a restart of this daemon may still arrive.
+
+        While this process stands still, a heartbeat waits unread and grows older.
+        """
+        uptime = self._awake.now() - self._started_at
         return not self._settings.first_start and uptime < OLD_HEARTBEATS_SECONDS
 
     async def _check_health(self, heartbeat: TargetHeartbeat) -> None:
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -201,6 +201,7 @@
             publisher=self._publisher,
             pool=self._target_pool,
             daemon_start=self._daemon_start,
+            awake=self._awake,
             events=self._events,
         )
         self._store_view = StoreView(
