Count the time for which a reply of a sync source waited unread

Same cause as the orders that ran twice: a copy of a table is as old as its source says at the moment at which it replies. A follower that stood still read the reply later and took it for as fresh as when it was sent. It then vouched for that age to the daemons that follow it, and kept its source.

The time for which the follower stood still while it awaited a reply is added to the age of its copy. The rows of the reply are used all the same.

--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -13,9 +13,10 @@
 import asyncio
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
+from ...awake_clock import AwakeClock
 from ...events import EventLog
 from ...protocol import table_sync
 from ...protocol.exchanges import Address, ExchangeFailed, Exchanger, FailureReason
@@ -114,6 +115,7 @@
         peers: Callable[[], SyncSources],
         changed: Callable[[StoredRow], None],
         unreachable: Callable[[Address], None],
+        awake: AwakeClock,
         events: EventLog,
         random: Random,
         copy_missing: Callable[[Address], None] = lambda address: None,
@@ -130,6 +132,7 @@
         self._peers = peers
         self._unreachable = unreachable
         self._copy_missing = copy_missing
+        self._awake = awake
         self._events = events
         self._restored = restored
         self._mirror = TableMirror(changed=changed, restored=self._copy_replaced)
@@ -379,6 +382,17 @@
 
     async def _poll(
         self, source: Address | None, wait: float
+    ) -> SyncReply | _PollFailed:
+        sent_at, awake_at = self._loop.time(), self._awake.now()
+        reply = await self._request(source, wait)
+        if isinstance(reply, _PollFailed):
+            return reply
+        elapsed = self._loop.time() - sent_at
+        paused = max(0.0, elapsed - (self._awake.now() - awake_at))
+        return replace(reply, paused=paused)
+
+    async def _request(
+        self, source: Address | None, wait: float
     ) -> SyncReply | _PollFailed:
         if source is None:
             return await self._poll_store(wait)
@@ -447,7 +461,9 @@
     def _record_source_success(self, source: Address | None, reply: SyncReply) -> None:
         now = self._loop.time()
         self._backoffs.record_success(source)
-        self._confirmed_at = max(self._confirmed_at, now - reply.age)
+        # The age was that of the moment at which the reply was sent.
+        confirmed_at = now - reply.age - reply.paused
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
         self.first_copy_read.set()
         if source != self._source:
             self._source = source
--- a/src/cassiasail/_internal/protocol/table_sync.py
+++ b/src/cassiasail/_internal/protocol/table_sync.py
@@ -43,10 +43,13 @@
     """Changed rows; ``age`` is the seconds since the store confirmed them as current.
 
     The age is infinite if the store never confirmed them or the source is stopping.
+    ``paused`` is set by the follower, not sent: the seconds for which it stood still
+    while it awaited the reply, which may have waited unread for that time.
     """
 
     delta: TableDelta
     age: float
+    paused: float = 0.0
 
 
 def encode_query(query: SyncQuery) -> HttpRequest:
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -216,6 +216,7 @@
             records_restored=self._publisher.observe_restore,
             previous_record_found=self._own_target.apply_stored_record,
             peer_unreachable=self._peer_unreachable,
+            awake=self._awake,
             events=self._events,
             random=self._random,
         )
--- a/src/cassiasail/_internal/sidecar/store_view.py
+++ b/src/cassiasail/_internal/sidecar/store_view.py
@@ -7,6 +7,7 @@
 
 from ...platform import configuration
 from .. import metrics
+from ..awake_clock import AwakeClock
 from ..coordination.mesh.balancing import Fleet
 from ..coordination.mesh.crashes import CrashHistory
 from ..coordination.mesh.following import FollowTimes, TableFollower
@@ -66,6 +67,7 @@
         records_restored: Callable[[StoreVersion], None],
         previous_record_found: Callable[[HostRecord], None],
         peer_unreachable: Callable[[Address], None],
+        awake: AwakeClock,
         events: EventLog,
         random: Random,
     ) -> None:
@@ -78,6 +80,7 @@
         self._own_row_changed = own_row_changed
         self._previous_record_found = previous_record_found
         self._peer_unreachable = peer_unreachable
+        self._awake = awake
         self._events = events
         self._random = random
         self.config: MeshConfig | None = None
@@ -153,6 +156,7 @@
             restored=restored,
             unreachable=self._peer_unreachable,
             copy_missing=self._fleet.record_missing_copy,
+            awake=self._awake,
             events=self._events,
             random=self._random,
             peers_known=starts_after,
--- a/tests/lib/mesh_world.py
+++ b/tests/lib/mesh_world.py
@@ -12,6 +12,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+from cassiasail._internal.awake_clock import AwakeClock
 from cassiasail._internal.coordination.mesh.balancing import Fleet
 from cassiasail._internal.coordination.mesh.crashes import CrashHistory
 from cassiasail._internal.coordination.mesh.probing import SuspectProber
@@ -321,6 +322,7 @@
             records_restored=self.publisher.observe_restore,
             previous_record_found=lambda record: None,
             peer_unreachable=self._suspect,
+            awake=AwakeClock(),
             events=events,
             random=random,
         )
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from random import Random
 
+from cassiasail._internal.awake_clock import AwakeClock
 from cassiasail._internal.coordination.mesh.following import (
     BATCH_SECONDS,
     FollowTimes,
@@ -29,6 +30,7 @@
 )
 from cassiasail._internal.transport.http1.pool import ConnectionPool
 from cassiasail._internal.transport.http1.server import HttpServer
+from devtools.virtual_loop import VirtualLoop
 from tests.lib.events import null_event_log
 from tests.lib.store_versions import at
 
@@ -109,6 +111,7 @@
         self.value_by_key: dict[str, bytes] = {}
         self.applied_values: list[bytes] = []
         self.order = order
+        self.awake = AwakeClock()
         self.follower = TableFollower(
             tables=store,
             table="t",
@@ -119,6 +122,7 @@
             peers_known=peers_known,
             first_start=first_start,
             unreachable=lambda address: None,
+            awake=self.awake,
             events=null_event_log(),
             random=Random(1),
         )
@@ -472,3 +476,47 @@
         is None
     )
     assert table_sync.decode_reply(HttpResponse(status=404), default_era=0) is None
+
+
+class PausingStore(FakeStore):
+    """Lets the process stand still once, while a reply waits unread.
+
+    ``ages`` has the age of the copy of ``node`` at each poll.
+    """
+
+    def __init__(self, *, pause: float) -> None:
+        super().__init__()
+        self.pause = pause
+        self.node: Node | None = None
+        self.ages: list[float] = []
+
+    async def changes(
+        self, table: str, *, after: StoreVersion, wait: float
+    ) -> TableDelta | HistoryGone | StoreFailed:
+        assert self.node is not None
+        self.ages.append(self.node.follower.age)
+        reply = await super().changes(table, after=after, wait=wait)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        loop.advance(self.pause)
+        self.pause = 0.0
+        return reply
+
+
+def test_copy_is_as_old_as_the_time_for_which_its_reply_waited_unread() -> None:
+    """Guards against a daemon that stood still and vouches for an old copy."""
+
+    async def main() -> None:
+        store = PausingStore(pause=3.5)
+        store.put("k", b"1")
+        node = store.node = Node(store, NO_PEERS)
+        ticking = asyncio.create_task(node.awake.run())
+        while len(store.ages) < 3:
+            await asyncio.sleep(0.01)
+        # A pause is noticed but for the time of two ticks.
+        assert store.ages[1] >= 3.0
+        assert store.ages[2] < 0.1
+        ticking.cancel()
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(main())
