Check the ranges of what other writers send where it is decoded

What callers saw: with one well-formed record with port 70000 in the table of VMs two daemons served 332 of 480 requests and took no later configuration, and a restarted one was not ready in 10 s.

Cause: decoders checked types and some ranges, and code behind them relied on more. The socket library raises OverflowError for a port out of range, where the client expects OSError, and the exception ended the tasks that follow the tables. Numbers of 400 digits in a heartbeat or a configuration raised OverflowError in their decoders, a deeply nested page of the store RecursionError, and one row with a field of another type failed a whole page.

Change: state/ranges.py has the ranges, and every decoder of what another writer sends returns typed values within them or a refusal with a reason: records, rows in pages of the store and in copies of peers, heartbeats, configurations, requests and replies of daemons, statuses of responses. Addresses are of type Address in records and heartbeats. An odd row costs only itself. Refused entries are logged and counted by source. A defect in the use of a row is logged and does not end the follower.

Measured: tests/functional/sidecar/test_odd_entries.py (processes, at a start and later) fails on: daemons are not ready in time, and a heartbeat gets 500.

--- a/src/cassiasail/_internal/coordination/mesh/balancing.py
+++ b/src/cassiasail/_internal/coordination/mesh/balancing.py
@@ -17,7 +17,7 @@
 from zlib import crc32
 
 from ...ids import DataCentre, Region, ServiceName
-from ...protocol.exchanges import Address, parse_address
+from ...state.addresses import Address
 from ...state.calls import HostLoad
 from ...state.hosts import HostId, HostRecord, Incarnation, TargetState
 from ...state.table_mirror import StoreVersion
@@ -173,7 +173,7 @@
     data_centre: DataCentre
     region: Region
     own_host: HostId
-    own_address: str
+    own_address: Address
     own_link_mbps: int
     random: Random
     view_by_host: dict[HostId, HostView] = field(default_factory=dict)
@@ -186,20 +186,16 @@
     def update(self, record: HostRecord, version: StoreVersion) -> None:
         """Apply a new or changed host record, stored as ``version``.
 
-        A malformed record, or one whose address belongs to a newer record of another
-        VM, is ignored. A VM whose address changed gets a new view. An incarnation of a
-        target that was leaving or absent keeps that state: a store that was restored
-        from a backup may have its former record.
+        A record whose address belongs to a newer record of another VM is ignored. A VM
+        whose address changed gets a new view. An incarnation of a target that was
+        leaving or absent keeps that state: a store that was restored from a backup may
+        have its former record.
         """
         record = self._with_final_state(record)
         if not self._resolve_address_conflict(record, version):
             return
         view = self.view_by_host.get(record.host)
-        try:
-            address = parse_address(record.address)
-        except ValueError:
-            return
-        if view is not None and view.address == address:
+        if view is not None and view.address == record.address:
             if view.record.target != record.target:
                 view.load, view.relative_service_time = None, 1.0
             if view.record != record:
@@ -211,7 +207,7 @@
         self.view_by_host[record.host] = HostView(
             record=record,
             version=version,
-            address=address,
+            address=record.address,
             distance=self._distance_to(record),
         )
 
--- a/src/cassiasail/_internal/coordination/mesh/following.py
+++ b/src/cassiasail/_internal/coordination/mesh/following.py
@@ -11,11 +11,13 @@
 """
 
 import asyncio
+import logging
 import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from random import Random
 
+from ... import metrics
 from ...awake_clock import AwakeClock
 from ...events import EventLog
 from ...protocol import table_sync
@@ -36,6 +38,8 @@
     SyncSources,
 )
 
+logger = logging.getLogger(__name__)
+
 # Maximum delay before a failed peer is polled again, also as a fraction of the maximum
 # age: a peer without news for this daemon fails as well and may have some soon.
 MAX_RETRY_DELAY_SECONDS = 2.0
@@ -135,7 +139,10 @@
         self._awake = awake
         self._events = events
         self._restored = restored
-        self._mirror = TableMirror(changed=changed, restored=self._copy_replaced)
+        self._changed = changed
+        self._mirror = TableMirror(
+            changed=self._row_changed, restored=self._copy_replaced
+        )
         self._loop = asyncio.get_running_loop()
         self._backoffs = SourceBackoffs(random)
         # Era that a copy of a build without eras is taken for: the one in which this
@@ -304,6 +311,7 @@
                 # Before, all daemons may be starting.
                 self._copy_missing(source)
             return False
+        self._report_refused_rows(source, reply.delta)
         if not self._mirror.apply(reply.delta):
             self._record_source_failure(source, "behind")
             return False
@@ -313,6 +321,29 @@
             self._wake_followers()
         return True
 
+    def _row_changed(self, row: StoredRow) -> None:
+        """Pass a changed row on; a defect in its use must not end the follower."""
+        try:
+            self._changed(row)
+        except Exception:
+            logger.exception("the use of a changed row failed; report this defect")
+            metrics.MESH_ENTRIES_REFUSED.labels("failed_row").inc()
+            self._events.write("row_failed", table=self._table, key=row.key)
+
+    def _report_refused_rows(self, source: Address | None, delta: TableDelta) -> None:
+        """Log and count the rows of a reply that can't be used."""
+        for row in delta.refused:
+            metrics.MESH_ENTRIES_REFUSED.labels(
+                "store_row" if source is None else "peer_row"
+            ).inc()
+            self._events.write(
+                "row_refused",
+                table=self._table,
+                key=row.key,
+                source=str(source or "store"),
+                reason=row.reason,
+            )
+
     def _copy_replaced(self, old: StoreVersion, new: StoreVersion) -> None:
         """Report that the first copy of a later era is going to replace this one."""
         if old.era == 0:
--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -20,7 +20,6 @@
     Exchanger,
     ResponseMatch,
     match_attempt,
-    parse_address,
 )
 from ...protocol.http1 import HttpResponse
 from ...state.calls import (
@@ -174,7 +173,7 @@
         # one applies to it.
         if self._address is not None:
             self._pool.close_idle(self._address)
-        self._address = parse_address(heartbeat.address)
+        self._address = heartbeat.address
         self._admission = Admission(slots=heartbeat.slots)
         self._has_responded = False
         self._failure_share = FailureShare()
--- a/src/cassiasail/_internal/coordination/mesh/registration.py
+++ b/src/cassiasail/_internal/coordination/mesh/registration.py
@@ -17,6 +17,7 @@
 from enum import Enum
 
 from ...ids import ServiceName, TargetId
+from ...state.addresses import Address
 from ...state.hosts import HostRecord, Incarnation, TargetState
 
 # Sequence number of a heartbeat derived from the stored record; lower than every
@@ -39,7 +40,7 @@
     start_time_ms: int
     sequence: int
     service: ServiceName
-    address: str
+    address: Address
     slots: int
     leaving: bool
     cold_seconds: float
@@ -70,7 +71,7 @@
     def __init__(
         self,
         *,
-        address: str,
+        address: Address,
         changed: Callable[[TargetHeartbeat | None], None],
         may_get_old_heartbeats: Callable[[], bool],
     ) -> None:
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -209,6 +209,12 @@
     "Routes in force whose kind this build does not know; they are unsafe.",
     registry=REGISTRY,
 )
+MESH_ENTRIES_REFUSED = Counter(
+    "cassiasail_mesh_entries_refused",
+    "Entries of other writers that were refused and not used, by their source.",
+    ["source"],
+    registry=REGISTRY,
+)
 MESH_BODIES_REFUSED = Counter(
     "cassiasail_mesh_bodies_refused",
     "Requests refused because the bodies of others fill the memory for them.",
--- a/src/cassiasail/_internal/protocol/exchanges.py
+++ b/src/cassiasail/_internal/protocol/exchanges.py
@@ -1,32 +1,14 @@
-"""Interface for HTTP requests: addresses, failure reasons and the client protocol."""
+"""Interface for HTTP requests: failure reasons and the client protocol."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
+from ..state.addresses import Address as Address
 from .http1 import HttpRequest, HttpResponse
 
 
-class Address(NamedTuple):
-    """An IPv4 address in dotted decimal notation and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
-def parse_address(text: str) -> Address:
-    """Parse an address such as ``10.1.0.8:8300``; raise ValueError if it is not one."""
-    host, colon, port = text.rpartition(":")
-    parts = host.split(".")
-    if not colon or len(parts) != 4 or not all(part.isdigit() for part in parts):
-        raise ValueError(f"{text!r} is not an IPv4 address with a port")
-    return Address(host, int(port))
-
-
 class FailureReason(Enum):
     """Why an exchange has no response; the value is used in logs and metric labels."""
 
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -18,6 +18,7 @@
 from urllib.parse import quote, unquote
 
 from ..ids import DaemonStart, ServiceName, TargetId
+from ..state import ranges
 from ..state.calls import (
     ClientRequest,
     HostedRequest,
@@ -66,6 +67,8 @@
 )
 # HTTP status of replies without a response of the target; only daemons see it.
 _NO_RESPONSE_STATUS = 299
+# Requests a second that no target takes. A limit above it is refused.
+MAX_RATE = 1e9
 _TRUE, _FALSE = "1", "0"
 
 
@@ -78,7 +81,7 @@
 
 
 def _decode_limit(value: bytes | None) -> float | None:
-    return None if value is None else float(value)
+    return None if value is None else ranges.parse_number(value, 0.0, MAX_RATE)
 
 
 def _encode_leaving(incarnation: Incarnation | None) -> tuple[Header, ...]:
@@ -92,7 +95,10 @@
     if value is None:
         return None
     target, start_time_ms = value.decode("ascii").split(",")
-    return TargetId(unquote(target)), int(start_time_ms)
+    return (
+        TargetId(ranges.name(unquote(target))),
+        ranges.parse_integer(start_time_ms, high=ranges.MAX_TIMESTAMP_MS),
+    )
 
 
 def _encode_number(number: RequestNumber | None) -> tuple[Header, ...]:
@@ -105,7 +111,9 @@
     if value is None:
         return None
     entry_start, number = value.decode("ascii").split(",")
-    return RequestNumber(DaemonStart(entry_start), int(number))
+    return RequestNumber(
+        DaemonStart(ranges.name(entry_start)), ranges.parse_integer(number)
+    )
 
 
 def encode_request(hosted: HostedRequest) -> HttpRequest:
@@ -117,7 +125,7 @@
         hosted.route,
         _encode_flag(hosted.safe),
         _encode_flag(hosted.late),
-        str(int(hosted.remaining_time * 1000)),
+        str(max(0, int(hosted.remaining_time * 1000))),
         str(int(hosted.max_wait * 1000)),
         request.client_service,
         request.attempt_id,
@@ -177,28 +185,28 @@
             body=request.body,
             client_service=ServiceName(client_service),
             arrived_at=request.arrived,
-            remaining_time=int(remaining_ms) / 1000,
+            remaining_time=ranges.parse_seconds(remaining_ms),
         )
         return HostedRequest(
             request=client_request,
             service=ServiceName(service),
-            priority=int(priority),
+            priority=ranges.parse_integer(priority),
             route=route,
             safe=safe == _TRUE,
             late=late == _TRUE,
             retry=request.header(RETRY_HEADER) is not None,
-            resent_after=None if resent_ms is None else int(resent_ms) / 1000,
+            resent_after=None if resent_ms is None else ranges.parse_seconds(resent_ms),
             first_sent_to=(
                 None
                 if first_sent_to is None
-                else DaemonStart(first_sent_to.decode("ascii"))
+                else DaemonStart(ranges.name(first_sent_to.decode("ascii")))
             ),
             number=_decode_number(request.header(NUMBER_HEADER)),
             known_limit=_decode_limit(request.header(LIMIT_HEADER)),
-            remaining_time=int(remaining_ms) / 1000,
-            max_wait=int(max_wait_ms) / 1000,
+            remaining_time=ranges.parse_seconds(remaining_ms),
+            max_wait=ranges.parse_seconds(max_wait_ms),
         )
-    except (UnicodeDecodeError, ValueError):
+    except ValueError:
         return None
 
 
@@ -271,21 +279,21 @@
                 if load_fields
                 else None
             ),
-            run_seconds=int(run_ms) / 1000,
+            run_seconds=ranges.parse_seconds(run_ms),
             leaving_target=_decode_leaving(response.header(LEAVING_HEADER)),
         )
-    except (UnicodeDecodeError, ValueError):
+    except ValueError:
         return None
 
 
 def _decode_load(fields: list[str], rate_limit: float | None) -> HostLoad:
     running, waiting, slots, service_ms, failure_share, route_service_ms = fields
     return HostLoad(
-        running=int(running),
-        waiting=int(waiting),
-        slots=max(1, int(slots)),
-        service_seconds=int(service_ms) / 1000,
-        failure_share=float(failure_share),
-        route_service_seconds=int(route_service_ms) / 1000,
+        running=ranges.parse_integer(running),
+        waiting=ranges.parse_integer(waiting),
+        slots=max(1, ranges.parse_integer(slots, high=ranges.MAX_SLOTS)),
+        service_seconds=ranges.parse_seconds(service_ms),
+        failure_share=ranges.parse_number(failure_share, 0.0, 1.0),
+        route_service_seconds=ranges.parse_seconds(route_service_ms),
         rate_limit=rate_limit,
     )
--- a/src/cassiasail/_internal/protocol/table_sync.py
+++ b/src/cassiasail/_internal/protocol/table_sync.py
@@ -6,12 +6,22 @@
 ignore and don't send.
 """
 
+import math
 import zlib
 from dataclasses import dataclass
 
 import cbor2
 
-from ..state.table_mirror import StoredRow, StoreVersion, TableDelta
+from ...exceptions import ProtocolError
+from ..state import cborcodec, ranges
+from ..state.table_mirror import (
+    MAX_LOGGED_KEY,
+    RowRefused,
+    StoredRow,
+    StoreVersion,
+    TableDelta,
+    row_key,
+)
 from .http1 import HttpRequest, HttpResponse
 
 PATH = b"/tables"
@@ -71,11 +81,11 @@
         era = request.header(_ERA_HEADER)
         return SyncQuery(
             table=table,
-            after=int(after),
-            era=None if era is None else int(era),
-            wait=int(wait_ms) / 1000,
+            after=ranges.parse_integer(after),
+            era=None if era is None else ranges.parse_integer(era),
+            wait=ranges.parse_seconds(wait_ms),
         )
-    except (UnicodeDecodeError, ValueError):
+    except ValueError:
         return None
 
 
@@ -102,35 +112,33 @@
     if response.status != 200:
         return None
     try:
-        decompressor = zlib.decompressobj()
-        body = decompressor.decompress(response.body, MAX_TABLE_BYTES)
-        if not decompressor.eof:
-            return None
-        era = int(response.header(_ERA_HEADER) or 0) or default_era
-        version, whole, age_ms, rows = cbor2.loads(body)
+        body = cborcodec.inflate(response.body, limit=MAX_TABLE_BYTES)
+        fields = cborcodec.decode_item(body, limit=MAX_TABLE_BYTES)
+        number, whole, age_ms, rows = cborcodec.items(fields, at_least=4, limit=4)
+        era = ranges.parse_integer(response.header(_ERA_HEADER) or b"0") or default_era
+        decoded = [_decode_row(era, each) for each in cborcodec.items(rows)]
         delta = TableDelta(
-            rows=tuple(_decode_row(era, *each) for each in rows),
-            version=StoreVersion(era=era, number=int(version)),
-            whole=bool(whole),
+            rows=tuple(row for row in decoded if isinstance(row, StoredRow)),
+            version=StoreVersion(era=era, number=ranges.integer(number)),
+            whole=whole is True,
+            refused=tuple(row for row in decoded if isinstance(row, RowRefused)),
         )
-        age_seconds = float("inf") if age_ms < 0 else age_ms / 1000
-        return SyncReply(delta=delta, age=age_seconds)
-    except (zlib.error, cbor2.CBORDecodeError, TypeError, ValueError):
+        age_ms = ranges.integer(age_ms, -1, ranges.MAX_DURATION_MS)
+    except (ProtocolError, ValueError):
         return None
+    return SyncReply(delta=delta, age=math.inf if age_ms < 0 else age_ms / 1000)
 
 
-def _decode_row(
-    era: int, key: object, value: object, version: object, deleted: object
-) -> StoredRow:
-    if not isinstance(key, str) or not isinstance(value, bytes):
-        raise ValueError(
-            "key of a row is not a string or its value is not a byte string"
+def _decode_row(era: int, fields: object) -> StoredRow | RowRefused:
+    """Return a row, or why it can't be used; the others of the reply still hold."""
+    key: object = ""
+    try:
+        key, value, number, deleted = cborcodec.items(fields, at_least=4, limit=4)
+        return StoredRow(
+            key=row_key(key),
+            value=cborcodec.octets(value, limit=MAX_TABLE_BYTES),
+            version=StoreVersion(era=era, number=ranges.integer(number, 1)),
+            deleted=deleted is True,
         )
-    if not isinstance(version, int):
-        raise ValueError("version of a row is not an integer")
-    return StoredRow(
-        key=key,
-        value=value,
-        version=StoreVersion(era=era, number=version),
-        deleted=bool(deleted),
-    )
+    except (ProtocolError, ValueError) as error:
+        return RowRefused(key=str(key)[:MAX_LOGGED_KEY], reason=str(error))
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -7,6 +7,7 @@
 
 from ...platform import health, heartbeats, requests
 from ...platform.settings import SidecarSettings
+from .. import metrics
 from ..awake_clock import AwakeClock
 from ..background import BackgroundTasks
 from ..coordination.mesh.balancing import Fleet
@@ -99,7 +100,7 @@
         self._stopping = False
         self._crashes: tuple[TargetCrash, ...] = ()
         self._registration = TargetRegistration(
-            address=str(settings.target_address),
+            address=settings.target_address,
             changed=self._target_changed,
             may_get_old_heartbeats=self._may_get_old_heartbeats,
         )
@@ -112,14 +113,19 @@
         ``ACKNOWLEDGE_TIMEOUT_SECONDS``.
         """
         message = heartbeats.decode_heartbeat(request)
+        if isinstance(message, TargetHeartbeat) and not self._is_known_service(message):
+            message = heartbeats.MalformedHeartbeat(
+                status=400, reason="service is not configured"
+            )
         if isinstance(message, heartbeats.MalformedHeartbeat):
+            metrics.MESH_ENTRIES_REFUSED.labels("heartbeat").inc()
             self._events.write("report_malformed", reason=message.reason)
             return HttpResponse(status=message.status)
         if isinstance(message, heartbeats.TargetRemoval):
             verdict = self._registration.remove(message.target, message.start_time_ms)
         else:
             verdict = self._registration.receive(message)
-            if message.address == str(self._settings.target_address):
+            if message.address == self._settings.target_address:
                 self._last_heartbeat_at = self._loop.time()
         if (
             isinstance(message, TargetHeartbeat)
@@ -135,6 +141,16 @@
             )
         return heartbeats.ACKNOWLEDGED
 
+    def _is_known_service(self, heartbeat: TargetHeartbeat) -> bool:
+        """Return whether the configuration in force names the service.
+
+        A target that leaves is believed in any case: its service may be removed first.
+        """
+        config = self._config_once_loaded()
+        if config is None or heartbeat.leaving:
+            return True
+        return heartbeat.service in config.service_by_name
+
     def apply_stored_record(self, record: HostRecord) -> None:
         """Apply the record that an earlier incarnation of this daemon published.
 
@@ -210,7 +226,7 @@
             return
         result = await self._pool.exchange(
             self._settings.target_address,
-            health.encode_health_check(service.health_path, heartbeat.address),
+            health.encode_health_check(service.health_path, str(heartbeat.address)),
             timeout=HEALTH_CHECK_TIMEOUT_SECONDS,
             match=_match_health_check,
         )
@@ -264,7 +280,7 @@
             return
         record = HostRecord(
             host=settings.host,
-            address=str(settings.peers_address),
+            address=settings.peers_address,
             data_centre=settings.data_centre,
             region=settings.region,
             service=applied.service,
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -126,7 +126,7 @@
             data_centre=settings.data_centre,
             region=settings.region,
             own_host=settings.host,
-            own_address=str(settings.peers_address),
+            own_address=settings.peers_address,
             own_link_mbps=int(settings.link_mbps),
             random=self._random,
         )
@@ -416,6 +416,8 @@
             return await self._store_view.serve_sync(query)
         hosted = peer_calls.decode_request(request)
         if hosted is None:
+            metrics.MESH_ENTRIES_REFUSED.labels("peer_request").inc()
+            self._events.write("peer_request_malformed")
             return HttpResponse(status=400)
         reply = await self._dispatcher.execute(hosted)
         return peer_calls.encode_reply(reply, attempt_id=hosted.request.attempt_id)
--- a/src/cassiasail/_internal/sidecar/store_view.py
+++ b/src/cassiasail/_internal/sidecar/store_view.py
@@ -173,6 +173,7 @@
     def _apply_config(self, row: StoredRow) -> None:
         config = configuration.decode_configuration(row.value)
         if isinstance(config, ConfigRejected):
+            metrics.MESH_ENTRIES_REFUSED.labels("configuration").inc()
             self._events.write("config_rejected", faults=config.faults[:5])
             return
         current = self.config
@@ -203,8 +204,16 @@
                 routes_by_kind=dict(routes_by_kind.most_common(MAX_KINDS_LOGGED)),
             )
 
+    def _decode_record(self, row: StoredRow) -> HostRecord | None:
+        record = decode_record(row.key, row.value)
+        if isinstance(record, HostRecord):
+            return record
+        metrics.MESH_ENTRIES_REFUSED.labels("host_record").inc()
+        self._events.write("record_malformed", host=row.key, reason=record.reason)
+        return None
+
     def _host_row_changed(self, row: StoredRow) -> None:
-        record = None if row.deleted else decode_record(row.key, row.value)
+        record = None if row.deleted else self._decode_record(row)
         for crash in record.crashes if record is not None else ():
             self._crashes.record(crash)
         if row.key == self._host:
@@ -214,8 +223,6 @@
             return
         if record is None:
             self._fleet.remove(row.key)
-            if not row.deleted:
-                self._events.write("record_malformed", host=row.key)
             return
         view = self._fleet.view_by_host.get(row.key)
         is_known = view is not None and view.record == record
--- a/src/cassiasail/_internal/state/cborcodec.py
+++ b/src/cassiasail/_internal/state/cborcodec.py
@@ -37,13 +37,13 @@
     return decompressed
 
 
-def decode_item(data: bytes) -> Any:
+def decode_item(data: bytes, *, limit: int = MAX_DECODED_BYTES) -> Any:
     """Decode exactly one CBOR item; raise ``ProtocolError`` if it is not valid.
 
     Indefinite lengths and duplicate map keys are refused.
     """
-    if len(data) > MAX_DECODED_BYTES:
-        raise ProtocolError(f"data exceeds {MAX_DECODED_BYTES} bytes")
+    if len(data) > limit:
+        raise ProtocolError(f"data exceeds {limit} bytes")
     try:
         return cbor2.loads(
             data,
--- a/src/cassiasail/_internal/state/hosts.py
+++ b/src/cassiasail/_internal/state/hosts.py
@@ -7,11 +7,21 @@
 from dataclasses import dataclass
 from enum import Enum
 from io import BytesIO
+from typing import Any
 
 import cbor2
 
+from ...exceptions import ProtocolError
 from ..ids import DaemonStart, DataCentre, Region, ServiceName, TargetId
-from .fingerprints import Fingerprint
+from . import cborcodec, ranges
+from .addresses import Address, parse_address
+from .fingerprints import FINGERPRINT_BYTES, Fingerprint
+
+# Number of fields in the first item of a record, and nesting of its lists.
+RECORD_FIELDS = 10
+MAX_RECORD_DEPTH = 4
+# Daemons publish fewer; the rest is room for other builds.
+MAX_RECORD_CRASHES = 64
 
 HostId = str
 # One start of a target: its id and the Unix time in milliseconds at which it started.
@@ -46,6 +56,13 @@
         return self.target, self.start_time_ms
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordRefused:
+    """Result for a stored record that names no VM to use."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostRecord:
     """One VM, with the address of its daemon and its target.
@@ -56,7 +73,7 @@
     """
 
     host: HostId
-    address: str
+    address: Address
     data_centre: DataCentre
     region: Region
     service: ServiceName
@@ -81,7 +98,7 @@
     """
     first = cbor2.dumps(
         [
-            record.address,
+            str(record.address),
             record.data_centre,
             record.region,
             record.service,
@@ -100,60 +117,69 @@
     return first + cbor2.dumps(added) if added else first
 
 
-def decode_record(host: HostId, data: bytes) -> HostRecord | None:
-    """Return the record of ``host``, None if ``data`` is malformed."""
+def decode_record(host: HostId, data: bytes) -> HostRecord | RecordRefused:
+    """Return the record of ``host`` in ``data``, or why it names no VM to use.
+
+    Any writer of the store may have written ``data``.
+    """
     try:
-        decoder = cbor2.CBORDecoder(BytesIO(data))
-        fields = decoder.decode()
-        address, data_centre, region, service, target, start_time_ms, *more = fields
-        slots, state, link, crashes = more
-        texts = (address, data_centre, region, service, target)
-        if not all(isinstance(text, str) for text in texts):
-            return None
-        if not all(isinstance(number, int) for number in (start_time_ms, slots, link)):
-            return None
-        if slots < 1:
-            return None
-        return HostRecord(
-            host=host,
-            address=address,
-            data_centre=DataCentre(data_centre),
-            region=Region(region),
-            service=ServiceName(service),
-            target=TargetId(target),
-            start_time_ms=start_time_ms,
-            slots=slots,
-            state=TargetState(state),
-            link_mbps=link,
-            crashes=tuple(_decode_crash(*each) for each in crashes),
-            daemon_start=_decode_daemon_start(decoder),
-        )
-    except (cbor2.CBORDecodeError, TypeError, ValueError):
-        return None
-
-
-def _decode_daemon_start(decoder: cbor2.CBORDecoder) -> DaemonStart | None:
-    """Return the start in the second item, None if there is no such item."""
+        return _decode_items(host, *_cbor_items(data))
+    except (ProtocolError, ValueError) as error:
+        return RecordRefused(reason=str(error))
+
+
+def _cbor_items(data: bytes) -> tuple[list[Any], list[Any]]:
+    """Return the items of a record; the second one is empty if it is missing."""
+    decoder = cbor2.CBORDecoder(
+        BytesIO(data), max_depth=MAX_RECORD_DEPTH, allow_indefinite=False
+    )
     try:
-        added = decoder.decode()
+        first = decoder.decode()
+    except Exception as error:
+        # The decoder raises many types of exceptions for malicious bytes.
+        raise ProtocolError(f"not valid CBOR: {type(error).__name__}") from error
+    try:
+        second = decoder.decode()
     except cbor2.CBORDecodeEOF:
-        return None
-    if not isinstance(added, list) or not added or not isinstance(added[0], str):
-        raise ValueError("start of the daemon is not a text")
-    return DaemonStart(added[0])
+        second = []
+    except Exception as error:
+        raise ProtocolError(f"not valid CBOR: {type(error).__name__}") from error
+    return (
+        cborcodec.items(first, at_least=RECORD_FIELDS, limit=RECORD_FIELDS),
+        cborcodec.items(second),
+    )
+
+
+def _decode_items(host: HostId, fields: list[Any], added: list[Any]) -> HostRecord:
+    address, data_centre, region, service, target, start_time_ms, *more = fields
+    slots, state, link_mbps, crashes = more
+    return HostRecord(
+        host=ranges.name(host),
+        address=parse_address(ranges.name(address)),
+        data_centre=DataCentre(ranges.name(data_centre)),
+        region=Region(ranges.name(region)),
+        service=ServiceName(ranges.name(service)),
+        target=TargetId(ranges.name(target)),
+        start_time_ms=ranges.integer(start_time_ms, high=ranges.MAX_TIMESTAMP_MS),
+        slots=ranges.integer(slots, 1, ranges.MAX_SLOTS),
+        state=ranges.member(state, TargetState),
+        link_mbps=ranges.integer(link_mbps, high=ranges.MAX_LINK_MBPS),
+        crashes=tuple(
+            _decode_crash(*cborcodec.items(each, at_least=3, limit=3))
+            for each in cborcodec.items(crashes, limit=MAX_RECORD_CRASHES)
+        ),
+        daemon_start=DaemonStart(ranges.name(added[0])) if added else None,
+    )
 
 
 def _decode_crash(
     target: object, start_time_ms: object, fingerprints: object
 ) -> TargetCrash:
-    if not isinstance(target, str) or not isinstance(start_time_ms, int):
-        raise ValueError("target id or start time of a target crash has the wrong type")
-    if not isinstance(fingerprints, list):
-        raise ValueError("fingerprints of a target crash are not a list")
-    if not all(isinstance(each, bytes) for each in fingerprints):
-        raise ValueError("fingerprint is not a byte string")
     return TargetCrash(
-        target=TargetId(target),
-        start_time_ms=start_time_ms,
-        fingerprints=tuple(fingerprints),
+        target=TargetId(ranges.name(target)),
+        start_time_ms=ranges.integer(start_time_ms, high=ranges.MAX_TIMESTAMP_MS),
+        fingerprints=tuple(
+            cborcodec.octets(each, limit=FINGERPRINT_BYTES)
+            for each in cborcodec.items(fingerprints, limit=ranges.MAX_SLOTS)
+        ),
     )
--- a/src/cassiasail/_internal/state/table_mirror.py
+++ b/src/cassiasail/_internal/state/table_mirror.py
@@ -4,9 +4,13 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from .ranges import MAX_NAME_BYTES, OutOfRangeError
+
 # Number of tombstones (deleted rows) kept for followers. A follower that missed more of
 # them gets the whole table.
 MAX_TOMBSTONES = 1024
+# Characters of the key of a refused row that are logged.
+MAX_LOGGED_KEY = 50
 
 
 class StoreVersion(NamedTuple):
@@ -35,16 +39,43 @@
     deleted: bool = False
 
 
+def row_key(value: object) -> str:
+    """Return ``value`` if it can be the key of a row; raise ``OutOfRangeError`` if not.
+
+    The store takes any text up to a limit, also with characters that can't be printed.
+    """
+    if type(value) is not str or not 0 < len(value) <= MAX_NAME_BYTES:
+        raise OutOfRangeError("key of a row is not a text within the limit")
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise OutOfRangeError("key of a row can't be encoded") from error
+    return value
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RowRefused:
+    """A row that another writer has written and that can't be used.
+
+    ``key`` is empty if it is what can't be read.
+    """
+
+    key: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TableDelta:
     """Changed rows up to ``version``.
 
     If ``whole`` is true, ``rows`` is the complete table and all other rows are deleted.
+    ``refused`` are rows that were sent besides; they count as missing.
     """
 
     rows: tuple[StoredRow, ...]
     version: StoreVersion
     whole: bool = False
+    refused: tuple[RowRefused, ...] = ()
 
 
 class TableMirror:
--- a/src/cassiasail/platform/configuration.py
+++ b/src/cassiasail/platform/configuration.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from .._internal.ids import ServiceName, Version
+from .._internal.state import ranges
 from .._internal.state.mesh_config import (
     DEFAULT_MAX_ATTEMPTS,
     ClientLimits,
@@ -17,6 +18,12 @@
 )
 from . import fields
 
+# Versions of 128 bits, as wide as any in use elsewhere.
+MAX_VERSION = (1 << 128) - 1
+# Limit of attempts, connections and priorities, none of which comes near it.
+MAX_COUNT = 1 << 20
+# Limit of the sizes that a client may send, far above the memory of a VM.
+MAX_LIMIT_BYTES = 1 << 40
 # Table and key of the row that holds the newest configuration.
 TABLE = "op"
 KEY = "config"
@@ -34,13 +41,13 @@
     try:
         document = json.loads(data)
         config = MeshConfig(
-            version=Version(int(fields.text(document, "version"), 16)),
+            version=_decode_version(document),
             routes=tuple(
-                _decode_route(name, entry)
+                _decode_route(ranges.name(name), entry)
                 for name, entry in fields.table(document, "routes").items()
             ),
             service_by_name={
-                ServiceName(name): _decode_service(name, entry)
+                ServiceName(ranges.name(name)): _decode_service(name, entry)
                 for name, entry in fields.table(document, "services").items()
             },
             limits=_decode_limits(fields.table(document, "limits")),
@@ -50,10 +57,15 @@
     return validate(config)
 
 
+def _decode_version(document: Any) -> Version:
+    digits = fields.text(document, "version")
+    return Version(ranges.integer(int(digits, 16), high=MAX_VERSION))
+
+
 def _decode_route(name: str, entry: Any) -> MeshRoute:
     kind = fields.text(entry, "kind")
     max_attempts = (
-        fields.integer(entry, "maxAttempts")
+        fields.integer(entry, "maxAttempts", high=MAX_COUNT)
         if "maxAttempts" in entry
         else DEFAULT_MAX_ATTEMPTS
     )
@@ -67,7 +79,9 @@
         unknown_kind=None if kind in _RETRY_SAFETY_BY_KIND else kind,
         timeout=fields.seconds(entry, "timeoutMs"),
         latency_objective=fields.seconds(entry, "sloMs"),
-        priority=fields.integer(entry, "priority") if "priority" in entry else 0,
+        priority=fields.integer(entry, "priority", high=MAX_COUNT)
+        if "priority" in entry
+        else 0,
         max_attempts=max_attempts,
         split=_decode_traffic_split(name, entry),
     )
@@ -92,15 +106,23 @@
 def _decode_service(name: str, entry: Any) -> MeshService:
     return MeshService(
         name=ServiceName(name),
-        health_path=fields.text(entry, "healthCheck"),
-        max_connections=fields.integer(entry, "maxConnections"),
+        health_path=_decode_path(entry, "healthCheck"),
+        max_connections=fields.integer(entry, "maxConnections", high=MAX_COUNT),
     )
 
 
+def _decode_path(entry: Any, name: str) -> str:
+    """Return a path that can stand in the first line of a request."""
+    path = fields.text(entry, name)
+    if not path.isascii() or " " in path:
+        raise fields.MalformedError(f"{name} is not a path")
+    return path
+
+
 def _decode_limits(entry: Any) -> ClientLimits:
     return ClientLimits(
-        header_bytes=fields.integer(entry, "maxHeaderBytes"),
-        body_bytes=fields.integer(entry, "maxBodyBytes"),
+        header_bytes=fields.integer(entry, "maxHeaderBytes", high=MAX_LIMIT_BYTES),
+        body_bytes=fields.integer(entry, "maxBodyBytes", high=MAX_LIMIT_BYTES),
         header_seconds=fields.seconds(entry, "headerTimeoutMs"),
         idle_seconds=fields.seconds(entry, "idleTimeoutMs"),
     )
--- a/src/cassiasail/platform/heartbeats.py
+++ b/src/cassiasail/platform/heartbeats.py
@@ -8,6 +8,8 @@
 from .._internal.coordination.mesh.registration import TargetHeartbeat
 from .._internal.ids import ServiceName, TargetId
 from .._internal.protocol.http1 import HttpRequest, HttpResponse
+from .._internal.state import ranges
+from .._internal.state.addresses import parse_address
 from . import fields
 
 _PATH_PREFIX = b"/v1/instances/"
@@ -46,7 +48,7 @@
     if not target_name or target_name == path or b"/" in target_name:
         return MalformedHeartbeat(status=404, reason="no such path")
     try:
-        target = TargetId(unquote(target_name.decode("ascii")))
+        target = TargetId(ranges.name(unquote(target_name.decode("ascii"))))
         if request.method == b"DELETE":
             return TargetRemoval(
                 target=target, start_time_ms=_decode_removal_start_time(request.body)
@@ -63,17 +65,14 @@
     status = fields.table(document, "status")
     state = fields.text(status, "state")
     if state not in (_READY_STATE, _DRAINING_STATE):
-        raise fields.MalformedError(f"state {state!r} is unknown")
-    slots = fields.integer(details, "capacity")
-    if slots < 1:
-        raise fields.MalformedError("capacity is below one")
+        raise fields.MalformedError("state is unknown")
     return TargetHeartbeat(
         target=target,
         start_time_ms=_decode_start_time(document),
         sequence=fields.integer(status, "sequence"),
-        service=ServiceName(fields.text(details, "service")),
-        address=fields.text(document, "address"),
-        slots=slots,
+        service=ServiceName(ranges.name(fields.value(details, "service"))),
+        address=parse_address(fields.text(document, "address")),
+        slots=fields.integer(details, "capacity", 1, ranges.MAX_SLOTS),
         leaving=state == _DRAINING_STATE,
         cold_seconds=fields.seconds(status, "coldLeftMs"),
     )
@@ -83,7 +82,7 @@
     # Some deployments send no start time; a target without one counts as the oldest.
     if isinstance(document, dict) and "born" not in document:
         return 0
-    return fields.integer(document, "born")
+    return fields.integer(document, "born", 0, ranges.MAX_TIMESTAMP_MS)
 
 
 def _decode_removal_start_time(body: bytes) -> int | None:
@@ -92,4 +91,4 @@
     document = json.loads(body)
     if not isinstance(document, dict) or "born" not in document:
         return None
-    return fields.integer(document, "born")
+    return fields.integer(document, "born", 0, ranges.MAX_TIMESTAMP_MS)
--- a/src/cassiasail/platform/settings.py
+++ b/src/cassiasail/platform/settings.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from .._internal.ids import DataCentre, Region, ServiceName
-from .._internal.protocol.exchanges import Address, parse_address
+from .._internal.state.addresses import Address, parse_address
 from ..exceptions import SettingsError
 from . import fields
 
--- a/src/cassiasail/platform/table_store.py
+++ b/src/cassiasail/platform/table_store.py
@@ -16,7 +16,14 @@
 )
 from .._internal.protocol.exchanges import Address, ExchangeFailed, Exchanger
 from .._internal.protocol.http1 import HttpRequest, HttpResponse
-from .._internal.state.table_mirror import StoredRow, StoreVersion, TableDelta
+from .._internal.state import ranges
+from .._internal.state.table_mirror import (
+    RowRefused,
+    StoredRow,
+    StoreVersion,
+    TableDelta,
+    row_key,
+)
 from . import fields
 
 # Timeout of a write. A response normally takes a few milliseconds. After the timeout,
@@ -55,6 +62,7 @@
         """
         rows: dict[str, StoredRow] = {}
         query = {"table": table, "part": _PART}
+        refused: list[RowRefused] = []
         version: StoreVersion | None = None
         while True:
             page = _decode_page(
@@ -68,11 +76,19 @@
             version = page.delta.version if version is None else version
             if page.delta.version.era != version.era:
                 return StoreFailed(reason="restored", may_be_committed=False)
-            if not page.has_more or not page.delta.rows:
-                all_rows = tuple(rows.values())
-                return TableDelta(rows=all_rows, version=version, whole=True)
+            refused += page.delta.refused
+            if not page.has_more:
+                return TableDelta(
+                    rows=tuple(rows.values()),
+                    version=version,
+                    whole=True,
+                    refused=tuple(refused),
+                )
+            if page.last_key is None or page.last_key < query.get("from", ""):
+                # The next page would be this one again.
+                return StoreFailed(reason="malformed: no key", may_be_committed=False)
             # The smallest key that sorts after the last one.
-            query["from"] = page.delta.rows[-1].key + "\0"
+            query["from"] = page.last_key + "\0"
 
     async def changes(
         self, table: str, *, after: StoreVersion, wait: float
@@ -153,8 +169,11 @@
 
 
 class _Page(NamedTuple):
+    """A part of a table; ``last_key`` is the last key that can be read, if any."""
+
     delta: TableDelta
     has_more: bool
+    last_key: str | None
 
 
 def _decode_page(result: HttpResponse | ExchangeFailed) -> _Page | StoreFailed:
@@ -164,9 +183,13 @@
         era = _decode_era(result)
         document = json.loads(result.body)
         version = StoreVersion(era=era, number=fields.integer(document, "ver"))
-        delta = TableDelta(rows=_decode_rows(document, era), version=version)
-        return _Page(delta=delta, has_more=bool(document.get("hasMore", False)))
-    except (fields.MalformedError, ValueError) as error:
+        rows, refused, last_key = _decode_rows(document, era)
+        return _Page(
+            delta=TableDelta(rows=rows, version=version, refused=refused),
+            has_more=document.get("hasMore", False) is True,
+            last_key=last_key,
+        )
+    except (fields.MalformedError, ValueError, RecursionError) as error:
         return StoreFailed(reason=f"malformed: {error}", may_be_committed=False)
 
 
@@ -177,40 +200,58 @@
         era = _decode_era(result)
         document = json.loads(result.body)
         if result.status == 412:
-            return WriteConflict(rows=_decode_rows(document, era), era=era)
+            rows, _, _ = _decode_rows(document, era)
+            return WriteConflict(rows=rows, era=era)
         number = fields.integer(document, "ver")
         return WriteDone(version=StoreVersion(era=era, number=number))
-    except (fields.MalformedError, ValueError) as error:
+    except (fields.MalformedError, ValueError, RecursionError) as error:
         return StoreFailed(reason=f"malformed: {error}", may_be_committed=True)
 
 
 def _decode_era(response: HttpResponse) -> int:
     """Return the era in ``response``; ValueError if the header is no integer."""
-    return int(response.header(_ERA_HEADER) or 0)
+    return ranges.parse_integer(response.header(_ERA_HEADER) or b"0")
 
 
-def _decode_rows(document: Any, era: int) -> tuple[StoredRow, ...]:
+def _decode_rows(
+    document: Any, era: int
+) -> tuple[tuple[StoredRow, ...], tuple[RowRefused, ...], str | None]:
+    """Return the rows of a response, those that can't be used, and the last key."""
     entries = document.get("rows") if isinstance(document, dict) else None
     if not isinstance(entries, list):
         raise fields.MalformedError("rows is not a list")
-    # The store lists a row that does not exist with version 0.
-    rows = (_decode_row(entry, era) for entry in entries)
-    return tuple(row for row in rows if row.version.number > 0)
-
-
-def _decode_row(entry: Any, era: int) -> StoredRow:
-    deleted = bool(entry.get("deleted", False)) if isinstance(entry, dict) else False
-    version = StoreVersion(era=era, number=fields.integer(entry, "ver"))
-    value = entry.get("value")
-    has_value = isinstance(value, str) and not deleted
-    return StoredRow(
-        key=fields.text(entry, "key"),
-        value=base64.b64decode(value, validate=True) if has_value else b"",
-        version=version,
-        deleted=deleted,
+    decoded = [_decode_row(entry, era) for entry in entries]
+    keys = [row.key for row in decoded if row.key]
+    return (
+        # The store lists a row that does not exist with version 0.
+        tuple(
+            row
+            for row in decoded
+            if isinstance(row, StoredRow) and row.version.number > 0
+        ),
+        tuple(row for row in decoded if isinstance(row, RowRefused)),
+        keys[-1] if keys else None,
     )
 
 
+def _decode_row(entry: Any, era: int) -> StoredRow | RowRefused:
+    """Return a row, or why it can't be used; the others of the response still hold."""
+    key = ""
+    try:
+        key = row_key(fields.value(entry, "key"))
+        deleted = entry.get("deleted", False) is True
+        value = entry.get("value")
+        has_value = isinstance(value, str) and not deleted
+        return StoredRow(
+            key=key,
+            value=base64.b64decode(value, validate=True) if has_value else b"",
+            version=StoreVersion(era=era, number=fields.integer(entry, "ver")),
+            deleted=deleted,
+        )
+    except (fields.MalformedError, ValueError) as error:
+        return RowRefused(key=key, reason=str(error))
+
+
 def _store_failure(result: HttpResponse | ExchangeFailed) -> StoreFailed:
     if isinstance(result, ExchangeFailed):
         return StoreFailed(reason=result.reason.value, may_be_committed=result.sent)
