Connect to no peer address that is none

An address of a peer comes from member records and from the row of contacts in the store. Port 70000 raised ValueError in the websocket library, which ended the task that dials. The address is now parsed first; one that is none is logged and counted as bad_address, and the attempt fails as for an unreachable peer.

--- a/src/cassiasail/_internal/transport/peers.py
+++ b/src/cassiasail/_internal/transport/peers.py
@@ -22,6 +22,7 @@
 from ..ids import DaemonId, Region
 from ..instruments import Counter
 from ..protocol.frames import MAX_FRAME_BYTES
+from ..state.addresses import parse_address
 from .shaping import DelayedSender, RegionLink
 from .streams import CallConnection, CallHandler, LoadReportSource, PeerRequestHandler
 
@@ -339,7 +340,16 @@
 async def dial(
     address: str, path: str, local: LocalPeer, max_size: int
 ) -> Connection | None:
-    """Open a websocket to a peer, or return None if it is unreachable."""
+    """Open a websocket to a peer, or return None if it is unreachable.
+
+    The address may come from a record or a row that another writer has written.
+    """
+    try:
+        parse_address(address)
+    except ValueError as error:
+        metrics.MESSAGES_REFUSED.labels("bad_address").inc()
+        logging.warning("cannot connect to peer %.50r: %s", address, error)
+        return None
     try:
         return await connect(
             f"ws://{address}{path}",
