Start the idle time when the client has received the response

What callers see: a connection that took a large response is closed within the idle time that the response announced, and a request sent on it gets no answer.

Cause: the server checked once per idle time whether the client still received the response. If it had received the end of it since the last check, the connection was closed at once, though the client had been idle for no time. Found by test_idle_timeout_does_not_start_before_the_response_is_sent, which failed once beside a load of 14. A trace of the checks beside eight busy processes shows it in 7 of 12 runs: 2.8 MB unacknowledged at 1.25 s, none at the check at 1.65 s, closed then, the client's request at 1.66 s unanswered.

The check now runs ten times in an idle time, and the idle time starts at the first check that finds the response received. It lasts a tenth longer at most.

--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -28,6 +28,9 @@
 # again while the client receives it. Otherwise late bytes of the client could reset the
 # connection before that response has arrived.
 LINGERING_CLOSE_SECONDS = 1.0
+# Interval of the checks whether a client has received a response, as a fraction of the
+# idle time, which lasts longer by at most this.
+RECEIVED_CHECK_FRACTION = 0.1
 SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -307,15 +310,23 @@
             self._timer = None
 
     def _start_idle_timer(self) -> None:
+        """Close the connection once it was idle for the idle time.
+
+        That time starts when the client has received the last response, which is
+        checked in short intervals. Nothing reports the moment.
+        """
         if not self._exchanges and self._partial is None and not self._closing:
-            self._start_timer(self._service.limits().idle_seconds, self._idle_timed_out)
+            seconds = self._service.limits().idle_seconds * RECEIVED_CHECK_FRACTION
+            self._start_timer(seconds, self._check_received)
 
-    def _idle_timed_out(self) -> None:
-        # A client that still receives a response is not idle.
+    def _check_received(self) -> None:
         if self._client_receives():
             self._start_idle_timer()
-        else:
+        elif self._unacknowledged_bytes:
             self.close_gracefully()
+        else:
+            idle_seconds = self._service.limits().idle_seconds
+            self._start_timer(idle_seconds, self.close_gracefully)
 
     def _end_lingering(self) -> None:
         """Close the connection once the client has all responses or takes no more.
