Give additional bytes of a target to no request

A faulty target sends "200 OK" without id and stamp when the next request of its connection arrives. 18 or 19 of 800 clients got it as a success, for reads and for orders alike; in the form of a refusal it made an order run twice.

Cause: a response without an id was delivered to the request in progress, also on a connection in use again, on which the target has sent ids in all responses so far. Nothing looked for the stamp of a success.

Change: a response without an id is delivered as the first of its connection only; later ones are dropped and counted, and the own response is waited for. A target that has named a request is not believed without an id on a new connection either, but for the 421 of another target at its address. A success without the stamp is none. Health checks and requests without an id are sent on new connections, as their responses can name no request. Responses of fakes in tests have the stamp that all targets send.

--- a/src/cassiasail/_internal/coordination/mesh/hosting.py
+++ b/src/cassiasail/_internal/coordination/mesh/hosting.py
@@ -15,6 +15,7 @@
 from ...events import EventLog
 from ...ids import DaemonStart, ServiceName
 from ...protocol.exchanges import (
+    NEW_CONNECTION,
     Address,
     ExchangeFailed,
     Exchanger,
@@ -123,6 +124,8 @@
         self._admission = Admission(slots=1)
         # Whether the incarnation in service has responded to this daemon.
         self._has_responded = False
+        # Whether it has named a request in a response. Its later ones do so as well.
+        self._names_requests = False
         self._failure_share = FailureShare()
         self._service_time_by_route: dict[str, RunningMean] = {}
         self._unsafe_executions = UnsafeExecutions(
@@ -175,7 +178,7 @@
             self._pool.close_idle(self._address)
         self._address = heartbeat.address
         self._admission = Admission(slots=heartbeat.slots)
-        self._has_responded = False
+        self._has_responded = self._names_requests = False
         self._failure_share = FailureShare()
         self._service_time_by_route.clear()
 
@@ -293,9 +296,8 @@
             echoed = self._codec.attempt_id_of(response)
             matched = match_attempt(echoed, request.attempt_id)
             if matched is ResponseMatch.OWN and not self._codec.has_run(response):
-                # A retry has the same attempt id. On this connection a second copy of
-                # this response could not be told from the response to the retry.
-                return ResponseMatch.UNKNOWN
+                # A retry has the same attempt id.
+                return ResponseMatch.OWN_LAST
             return matched
 
         try:
@@ -304,7 +306,7 @@
                 self._codec.encode(request, heartbeat.target, remaining_time),
                 timeout=remaining_time + RESPONSE_MARGIN_SECONDS,
                 match=match,
-                max_idle=None if hosted.safe else UNSAFE_MAX_IDLE_SECONDS,
+                max_idle=_max_idle(hosted),
             )
         except asyncio.CancelledError:
             # Clients often cancel requests that take too long. Without their times the
@@ -318,8 +320,8 @@
         if isinstance(result, ExchangeFailed):
             reply = reply_of_failure(result, run_seconds)
         else:
-            decoded = self._codec.decode(result)
-            if admission is self._admission:
+            decoded = self._decode(result, request)
+            if decoded.valid and admission is self._admission:
                 self._apply_notices(heartbeat, decoded, dispatched_at)
             reply = reply_of_response(decoded, run_seconds)
         failed = reply.outcome is not HostOutcome.ANSWERED or (
@@ -330,7 +332,7 @@
             admission.service_time.add(run_seconds)
             self._service_time_of(hosted.route).add(run_seconds)
             self._crashes.record_response(request)
-        if isinstance(result, HttpResponse):
+        if isinstance(result, HttpResponse) and decoded.valid:
             self._crash_evidence.record_response(dispatched_at)
         elif self._is_current(heartbeat):
             self._check_for_crash(request, heartbeat, reply.reason)
@@ -347,6 +349,20 @@
             )
         return reply
 
+    def _decode(
+        self, response: HttpResponse, request: ClientRequest
+    ) -> DecodedTargetResponse:
+        """Decode a response; one that names no request may not be of the target.
+
+        Another target, which responds at a reused address, need not name the request.
+        """
+        decoded = self._codec.decode(response)
+        if self._codec.attempt_id_of(response):
+            self._names_requests = True
+        elif self._names_requests and request.attempt_id and not decoded.misdirected:
+            return replace(decoded, valid=False)
+        return decoded
+
     def _apply_notices(
         self,
         heartbeat: TargetHeartbeat,
@@ -415,3 +431,10 @@
         )
         self._crashes.record(crash)
         self._on_crash(crash)
+
+
+def _max_idle(hosted: HostedRequest) -> float | None:
+    """Return how long a connection may have been idle that carries the request."""
+    if not hosted.request.attempt_id:
+        return NEW_CONNECTION
+    return None if hosted.safe else UNSAFE_MAX_IDLE_SECONDS
--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -7,6 +7,7 @@
 from ...ids import DaemonStart
 from ...protocol import peer_calls
 from ...protocol.exchanges import (
+    NEW_CONNECTION,
     Address,
     ExchangeFailed,
     Exchanger,
@@ -93,6 +94,7 @@
         peer_calls.encode_request(hosted),
         timeout=hosted.remaining_time + REPLY_MARGIN_SECONDS,
         match=match,
+        max_idle=None if hosted.request.attempt_id else NEW_CONNECTION,
     )
     if isinstance(result, ExchangeFailed):
         return _reply_of_failure(result)
--- a/src/cassiasail/_internal/coordination/mesh/target_responses.py
+++ b/src/cassiasail/_internal/coordination/mesh/target_responses.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ... import metrics
 from ...ids import TargetId
 from ...protocol.exchanges import ExchangeFailed, FailureReason
 from ...protocol.http1 import HttpRequest, HttpResponse
@@ -32,7 +33,8 @@
     ``misdirected`` true if another target than the one addressed responded.
     ``rate_limit`` is the number of requests a second that the target takes from all
     daemons together, None if it names none. ``leaving`` is true if the target states
-    that it accepts no new requests.
+    that it accepts no new requests. ``valid`` is false for bytes that are no
+    response of the target to the request: what they say is not believed.
     """
 
     response: TargetResponse
@@ -40,6 +42,7 @@
     misdirected: bool
     rate_limit: float | None = None
     leaving: bool = False
+    valid: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,6 +70,13 @@
 
 def reply_of_response(decoded: DecodedTargetResponse, run_seconds: float) -> HostReply:
     """Return the reply to the entry daemon for a response of the target."""
+    if not decoded.valid:
+        metrics.MESH_RESPONSES_DROPPED.labels("invalid").inc()
+        return HostReply(
+            outcome=HostOutcome.FAILED,
+            reason=HostReason.TARGET_RESPONSE_CORRUPT,
+            run_seconds=run_seconds,
+        )
     if decoded.misdirected:
         return HostReply(
             outcome=HostOutcome.SHED,
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -209,6 +209,12 @@
     "Routes in force whose kind this build does not know; they are unsafe.",
     registry=REGISTRY,
 )
+MESH_RESPONSES_DROPPED = Counter(
+    "cassiasail_mesh_responses_dropped",
+    "Responses that were given to no request, by the reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 MESH_ENTRIES_REFUSED = Counter(
     "cassiasail_mesh_entries_refused",
     "Entries of other writers that were refused and not used, by their source.",
--- a/src/cassiasail/_internal/protocol/exchanges.py
+++ b/src/cassiasail/_internal/protocol/exchanges.py
@@ -38,8 +38,13 @@
     """
 
     OWN = "own"
-    # The response names no request. It is delivered, but its connection is not used
-    # again: a second copy of it could not be told from the response to a later request.
+    # The response names the request, and so would its second copy the next attempt of
+    # this request. It is delivered, but its connection is not used again.
+    OWN_LAST = "own_last"
+    # The response names no request. It is delivered only as the first response of its
+    # connection, before which there is no other that it could be a part or a copy of.
+    # The connection is not used again: a second copy could not be told from the
+    # response to a later request.
     UNKNOWN = "unknown"
     # The response names another request and is dropped.
     OTHER = "other"
@@ -55,6 +60,11 @@
     return ResponseMatch.OWN if echoed == attempt_id else ResponseMatch.OTHER
 
 
+# No idle connection is used with this limit of the idle time. A response that can't
+# name its request is only believed on a new connection.
+NEW_CONNECTION = -1.0
+
+
 class Exchanger(Protocol):
     """Sends requests and returns complete responses; never raises for a failure."""
 
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -21,6 +21,7 @@
 from ..events import EventLog
 from ..ids import DaemonStart
 from ..protocol.exchanges import (
+    NEW_CONNECTION,
     ExchangeFailed,
     Exchanger,
     ResponseMatch,
@@ -229,6 +230,7 @@
             health.encode_health_check(service.health_path, str(heartbeat.address)),
             timeout=HEALTH_CHECK_TIMEOUT_SECONDS,
             match=_match_health_check,
+            max_idle=NEW_CONNECTION,
         )
         if isinstance(result, ExchangeFailed):
             outcome = result.reason.value
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from ... import metrics
 from ...protocol.exchanges import ExchangeFailed, FailureReason, ResponseMatch
 from ...protocol.http1 import Header, HttpRequest, HttpResponse, encode_request
 from .memory import BodyMemory
@@ -48,6 +49,8 @@
         self._received_bytes = 0
         self._received_body_bytes = 0
         self._reset_response()
+        # Whether a response was delivered; later ones have to name their requests.
+        self._has_delivered = False
         # False after unexpected bytes, a failure, or when the server closes.
         self.reusable = True
         self.idle_since = 0.0
@@ -247,7 +250,14 @@
         if match is not ResponseMatch.OWN:
             self.reusable = False
         if match is ResponseMatch.OTHER:
+            metrics.MESH_RESPONSES_DROPPED.labels("other_request").inc()
             return
+        if match is ResponseMatch.UNKNOWN and self._has_delivered:
+            # The server names requests in its responses, or this connection would not
+            # be in use again. These are additional bytes of an earlier response.
+            metrics.MESH_RESPONSES_DROPPED.labels("unnamed").inc()
+            return
+        self._has_delivered = True
         waiter, self._waiter = self._waiter, None
         self._read_idle_timeout(response)
         if waiter is not None and not waiter.done():
--- a/src/cassiasail/platform/requests.py
+++ b/src/cassiasail/platform/requests.py
@@ -24,6 +24,7 @@
 _LOAD_REPORT = b"x-cassiasail-server-load"
 _RATE_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+_STAMP = b"x-cassiasail-server-stamp"
 _TARGET_ID = b"x-cassiasail-instance-id"
 _HOST = b"host"
 _RETRY_AFTER = b"retry-after"
@@ -155,6 +156,7 @@
         misdirected=response.status == _MISDIRECTED_STATUS,
         rate_limit=_decode_rate_limit(response.header(_RATE_LIMIT)),
         leaving=response.header(_LEAVING) == b"1",
+        valid=response.status // 100 != 2 or response.header(_STAMP) is not None,
     )
 
 
--- a/tests/functional/sidecar/test_late_answers.py
+++ b/tests/functional/sidecar/test_late_answers.py
@@ -1,6 +1,7 @@
 """Servers that send a second copy of an answer on a connection that is used again."""
 
 import asyncio
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -17,6 +18,7 @@
     raw_target_sidecars,
     run,
     sidecar_mesh,
+    status_of,
 )
 
 REQUESTS = 12
@@ -127,3 +129,112 @@
                 await peer.server.stop()
 
     run(main)
+
+
+EXTRA_BYTES = {
+    "success": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "refusal": (
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Cassiasail-Not-Run: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    ),
+    "misdirected": b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+class ExtraBytes:
+    """Sends a response without an id before each answer but the first of a connection.
+
+    ``runs_by_attempt_id`` counts how often each request ran.
+    """
+
+    def __init__(self, extra: bytes) -> None:
+        self._extra = extra
+        self._seen: set[asyncio.StreamWriter] = set()
+        self.sent = 0
+        self.runs_by_attempt_id: Counter[str] = Counter()
+
+    async def handle(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if writer in self._seen:
+            writer.write(self._extra)
+            self.sent += 1
+        self._seen.add(writer)
+        self.runs_by_attempt_id[request.attempt_id] += 1
+        await asyncio.sleep(0.02)
+        writer.write(answer_of_target(request, echo=True))
+
+
+@pytest.mark.parametrize("kind", EXTRA_BYTES)
+def test_additional_bytes_without_an_id_are_no_answer(
+    tmp_path: Path, kind: str
+) -> None:
+    """Guards against a success that no target sent, and an order that runs twice.
+
+    The bytes belong to an earlier answer and come when the next request is there. The
+    own answer of that request follows them and is waited for.
+    """
+    servers = [ExtraBytes(EXTRA_BYTES[kind]) for _ in range(2)]
+    sidecars = raw_target_sidecars(*(server.handle for server in servers))
+
+    async def main() -> None:
+        async with sidecar_mesh(tmp_path, sidecars) as (_, vms):
+            for vm in vms:
+                await assert_own_answers(vm)
+            assert sum(server.sent for server in servers) >= REQUESTS
+            runs = servers[0].runs_by_attempt_id + servers[1].runs_by_attempt_id
+            del runs[""]
+            assert set(runs.values()) == {1}
+            metrics = "".join([await vm.metrics() for vm in vms])
+            assert 'mesh_responses_dropped_total{reason="unnamed"}' in metrics
+
+    run(main)
+
+
+@pytest.mark.parametrize("kind", EXTRA_BYTES)
+def test_answer_without_an_id_of_a_target_that_sends_ids_is_not_believed(
+    tmp_path: Path, kind: str
+) -> None:
+    """Guards against a refusal of an order that has run.
+
+    The bytes come in place of the answer, on a new connection. Only another target,
+    which may have the address by now, need not name the request that it refuses.
+    """
+    runs: Counter[str] = Counter()
+
+    async def handle(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        runs[request.attempt_id] += 1
+        if request.attempt_id.startswith("odd"):
+            writer.write(EXTRA_BYTES[kind])
+        else:
+            writer.write(answer_of_target(request, echo=True))
+
+    async def main() -> None:
+        sidecars = raw_target_sidecars(handle)
+        async with sidecar_mesh(tmp_path, sidecars) as (_, (vm,)):
+            result = await vm.get("/orders/a", attempt="named", method="POST")
+            assert status_of(result) == 200
+            # Idle connections are not used for orders after this time.
+            await asyncio.sleep(0.3)
+            result = await vm.get("/orders/a", attempt="odd", method="POST")
+            assert status_of(result) == (503 if kind == "misdirected" else 502)
+
+    run(main)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_success_without_the_stamp_of_a_target_is_no_answer(
+    tmp_path: Path, method: str
+) -> None:
+    """Guards against bytes that are no answer and reach a client as a success."""
+
+    async def handle(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        answer = answer_of_target(request, echo=True)
+        writer.write(answer.replace(b"x-cassiasail-server-stamp", b"x-other"))
+
+    async def main() -> None:
+        sidecars = raw_target_sidecars(handle)
+        async with sidecar_mesh(tmp_path, sidecars) as (_, (vm,)):
+            path = "/one/a" if method == "GET" else "/orders/a"
+            result = await vm.get(path, attempt="a", method=method)
+            assert status_of(result) == 502
+
+    run(main)
--- a/tests/lib/retry_world.py
+++ b/tests/lib/retry_world.py
@@ -52,6 +52,7 @@
 # Marks the calls of a run that was itself a retry.
 CALL_OF_RETRY = "retry-"
 SERVICES = (FRONT, BACK)
+STAMP = (b"x-cassiasail-server-stamp", b"stamp")
 SHED = HttpResponse(status=503, headers=((b"x-cassiasail-not-run", b"1"),))
 
 
@@ -192,11 +193,11 @@
             return SHED
         await asyncio.sleep(RUN_SECONDS[service])
         if service == BACK:
-            return HttpResponse(status=200)
+            return HttpResponse(status=200, headers=(STAMP,))
         mark = CALL_OF_RETRY if repeat else ""
         calls = [self._request(number, b"/back/x", mark) for _ in range(CALLS_PER_RUN)]
         served = all(await asyncio.gather(*calls))
-        return HttpResponse(status=200 if served else 500)
+        return HttpResponse(status=200 if served else 500, headers=(STAMP,))
 
     def _record(self, number: int) -> HostRecord:
         return HostRecord(
--- a/tests/unit/mesh/test_hosting.py
+++ b/tests/unit/mesh/test_hosting.py
@@ -74,7 +74,8 @@
     max_wait=1.0,
 )
 SAFE = replace(UNSAFE, safe=True)
-OK = HttpResponse(status=200, body=b"done")
+STAMP = (b"x-cassiasail-server-stamp", b"stamp")
+OK = HttpResponse(status=200, headers=(STAMP,), body=b"done")
 STARTED = DaemonStart("started")
 
 
--- a/tests/unit/mesh/test_peers.py
+++ b/tests/unit/mesh/test_peers.py
@@ -72,6 +72,7 @@
         *,
         timeout: float,
         match: Callable[[HttpResponse], ResponseMatch] | None = None,
+        max_idle: float | None = None,
     ) -> HttpResponse | ExchangeFailed:
         return self.results.pop(0)
 
--- a/tests/unit/mesh/test_target_limits.py
+++ b/tests/unit/mesh/test_target_limits.py
@@ -27,6 +27,7 @@
 from tests.unit.mesh.test_hosting import (
     HEARTBEAT,
     SAFE,
+    STAMP,
     FakeTargetPool,
     dispatcher_for,
 )
@@ -65,7 +66,7 @@
         self.on_request = lambda: self.arrivals.append(loop.time())
 
     def respond(self) -> HttpResponse:
-        headers: tuple[tuple[bytes, bytes], ...] = ()
+        headers: tuple[tuple[bytes, bytes], ...] = (STAMP,)
         if self.limit is not None:
             headers += ((b"server-limit", self.limit.encode()),)
         if self.leaving:
