--- a/tests/functional/sidecar/test_endless_answers.py
+++ b/tests/functional/sidecar/test_endless_answers.py
@@ -184,6 +184,7 @@
 
     async def handle(request: RawRequest, writer: asyncio.StreamWriter) -> None:
         head = f"{OK_HEAD.decode()}x-cassiasail-attempt-id: {request.attempt_id}\r\n"
+        head += "x-cassiasail-server-stamp: stamp\r\n"
         writer.write(f"{head}content-length: {len(filler)}\r\n\r\n".encode() + filler)
         await writer.drain()
 
