Count only a request's own bytes against the header limit

Cause: an endless header line is limited by the bytes received, and the whole piece in which a request begins counted, with the requests before it in it.

Change: that piece isn't counted, and pieces are parsed in parts of at most the limit, so that an endless line is refused as before. The listener for other daemons takes what an entry daemon may make of a head that it accepted: attempt ids are percent-encoded, and headers are added. Its limit was that of clients by default, so a head near it had an unknown outcome behind the entry daemon.

--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -67,11 +67,22 @@
 )
 # HTTP status of replies without a response of the target; only daemons see it.
 _NO_RESPONSE_STATUS = 299
+# Bytes of the headers that an entry daemon adds, besides what it takes from those of
+# the client: names of a service and a route, and of the service beside it, encoded.
+MAX_ADDED_BYTES = 4096
 # Requests a second that no target takes. A limit above it is refused.
 MAX_RATE = 1e9
 _TRUE, _FALSE = "1", "0"
 
 
+def max_header_bytes(client_bytes: int) -> int:
+    """Return the most header bytes of a request that had ``client_bytes`` at most.
+
+    Percent-encoding makes three bytes of one.
+    """
+    return 3 * client_bytes + MAX_ADDED_BYTES
+
+
 def _encode_flag(value: bool) -> str:
     return _TRUE if value else _FALSE
 
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -81,8 +81,9 @@
 ACCEPT_WHILE_STOPPING_SECONDS = 2.6
 # How often a stopping daemon checks whether requests are still in flight.
 IN_FLIGHT_POLL_SECONDS = 0.05
-# Limits of all listeners except the client listener, which uses these only until a
-# configuration is loaded. Other daemons close idle connections before this one does.
+# Limits of the listeners for the target, the platform and operators, and of those for
+# clients and other daemons until a configuration is loaded. Other daemons close idle
+# connections before this one does.
 DEFAULT_LIMITS = ClientLimits()
 # Random bytes that identify a start of the daemon: enough for no two starts of a fleet
 # to be the same in its life.
@@ -230,7 +231,7 @@
             time_limit=self._client_time_limit,
         )
         self._peers_server = HttpServer(
-            handler=self._serve_peer, limits=_default_limits, memory=memory
+            handler=self._serve_peer, limits=self._peer_limits, memory=memory
         )
         self._heartbeats_server = HttpServer(
             handler=self._own_target.serve_heartbeat, limits=_default_limits
@@ -388,6 +389,14 @@
         config = self._store_view.config
         return DEFAULT_LIMITS if config is None else config.limits
 
+    def _peer_limits(self) -> ClientLimits:
+        """Return limits that no request exceeds which another daemon has accepted."""
+        limits = self._client_limits()
+        return ClientLimits(
+            header_bytes=peer_calls.max_header_bytes(limits.header_bytes),
+            body_bytes=max(DEFAULT_LIMITS.body_bytes, limits.body_bytes),
+        )
+
     def _client_time_limit(self, request: HttpRequest) -> float | None:
         """Return the seconds from the arrival of a client's request to its deadline."""
         return self._router.time_limit(
--- a/src/cassiasail/_internal/transport/http1/partial_request.py
+++ b/src/cassiasail/_internal/transport/http1/partial_request.py
@@ -39,9 +39,9 @@
     # Not a list of parts, as an object for two bytes takes 22 times their memory.
     body: bytearray = field(default_factory=bytearray)
     # Bytes of the header lines that the parser has delivered, and all bytes received
-    # for the header section.
+    # for the header section after the piece in which it begins; None in that piece.
     header_bytes_parsed: int = 0
-    header_bytes_received: int = 0
+    header_bytes_received: int | None = None
     body_bytes: int = 0
     # Body bytes for which memory is held; the whole length if it was announced.
     held_bytes: int = 0
@@ -72,13 +72,17 @@
         self.body += part
 
     def exceeds_header_limit(self, received: int) -> bool:
-        """Count ``received`` bytes; return whether the header section is too long.
+        """Count a piece of ``received`` bytes; return whether the header is too long.
 
         The parser delivers only complete header lines, so an endless line is limited
-        here by the bytes received.
+        here by the bytes received. The piece in which the request begins is not
+        counted: it may have any number of bytes of earlier requests.
         """
         if self.header_complete:
             return False
+        if self.header_bytes_received is None:
+            self.header_bytes_received = 0
+            return False
         self.header_bytes_received += received
         return self.header_bytes_received > 2 * self.limits.header_bytes
 
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -153,6 +153,17 @@
         return False
 
     def data_received(self, data: bytes) -> None:
+        # The parser doesn't tell where in a piece a request begins. All bytes of the
+        # next piece belong to that request, or its header section is complete; pieces
+        # of this size are enough to limit it.
+        size = max(1, self._service.limits().header_bytes)
+        if len(data) <= size:
+            self._parse(data)
+            return
+        for start in range(0, len(data), size):
+            self._parse(data[start : start + size])
+
+    def _parse(self, data: bytes) -> None:
         # Behind the last request of the connection, bytes are ignored.
         if self._closing or (self._exchanges and not self._exchanges[-1].keep_alive):
             return
