Notice a client that leaves while its connection is not read

Cause: reading pauses at 16 requests without a response, and the event loop learns of a close by reading.

Change: while reading is paused, the socket is watched for a hang-up, and the connection is aborted then.

--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -209,6 +209,11 @@
     "Routes in force whose kind this build does not know; they are unsafe.",
     registry=REGISTRY,
 )
+MESH_HANGUPS_WHILE_PAUSED = Counter(
+    "cassiasail_mesh_hangups_while_paused",
+    "Connections that were closed by the client while their reading was paused.",
+    registry=REGISTRY,
+)
 MESH_RESPONSES_DROPPED = Counter(
     "cassiasail_mesh_responses_dropped",
     "Responses that were given to no request, by the reason.",
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -84,6 +84,7 @@
     async def stop(self) -> None:
         """Close the listener and the connections without requests in flight."""
         self.close_listener()
+        self._service.hangups.close()
         for connection in tuple(self.connections):
             if not connection.in_flight:
                 connection.close_gracefully()
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -144,6 +144,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._closed(self)
         self._closing = True
+        self._unwatch_hangup()
         if self._timer is not None:
             self._timer.cancel()
         self._cancel_exchanges()
@@ -234,8 +235,7 @@
         self._stop_timer()
         self._start_runnable()
         if len(self._exchanges) >= MAX_PIPELINED and self._transport is not None:
-            self._reading_paused = True
-            self._transport.pause_reading()
+            self._pause_reading(self._transport)
 
     # Responses.
 
@@ -290,12 +290,40 @@
         if self._closing:
             return
         self._start_runnable()
-        if self._reading_paused and len(self._exchanges) < MAX_PIPELINED:
-            self._reading_paused = False
-            assert transport is not None
-            transport.resume_reading()
+        if len(self._exchanges) < MAX_PIPELINED:
+            self._resume_reading()
         self._start_idle_timer()
 
+    # Pauses of reading.
+
+    def _pause_reading(self, transport: asyncio.Transport) -> None:
+        """Read no more for now, but notice if the client closes the connection."""
+        self._reading_paused = True
+        transport.pause_reading()
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            self._service.hangups.watch(connection, self._hung_up)
+
+    def _resume_reading(self) -> None:
+        if not self._reading_paused or self._transport is None:
+            return
+        self._reading_paused = False
+        self._unwatch_hangup()
+        self._transport.resume_reading()
+
+    def _unwatch_hangup(self) -> None:
+        if self._transport is None:
+            return
+        connection = self._transport.get_extra_info("socket")
+        if connection is not None:
+            self._service.hangups.unwatch(connection)
+
+    def _hung_up(self) -> None:
+        """Drop the requests of a client that waits for no more responses."""
+        metrics.MESH_HANGUPS_WHILE_PAUSED.inc()
+        if self._transport is not None:
+            self._transport.abort()
+
     def _reject(self, status: int, headers: tuple[Header, ...] = ()) -> None:
         """Respond with ``status`` after the pending responses, then close."""
         if self._closing:
@@ -406,6 +434,5 @@
         self._cancel_exchanges()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        if self._reading_paused:
-            self._transport.resume_reading()
+        self._resume_reading()
         self._start_timer(LINGERING_CLOSE_SECONDS, self._end_lingering)
--- a/src/cassiasail/_internal/transport/http1/service.py
+++ b/src/cassiasail/_internal/transport/http1/service.py
@@ -1,10 +1,11 @@
 """What all connections of one HTTP/1.1 server share."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...protocol.http1 import HttpRequest, HttpResponse
 from ...state.mesh_config import ClientLimits
+from .hangup_watch import HangupWatch
 from .memory import BodyMemory
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
@@ -17,7 +18,8 @@
 class HttpService:
     """How the connections of a server serve requests; see ``HttpServer``.
 
-    While it is ``draining``, responses close their connections.
+    While it is ``draining``, responses close their connections. ``hangups`` watches the
+    connections that are not read for a while.
     """
 
     handler: Handler
@@ -25,3 +27,4 @@
     time_limit: TimeLimit
     memory: BodyMemory
     draining: bool = False
+    hangups: HangupWatch = field(default_factory=HangupWatch)
