Hold no body with a kept result, and bound the limit that a target names

Found by reading the change again. A target that names a limit above 1e9 requests a second would have made every reply of its daemon malformed for entry daemons, whose decoder has that bound; such a limit is refused and counted where the response is decoded. The identity of a start is a token of letters and digits, as it goes into headers.

Measured: the test of the body fails before; the one of the limit covers the bound, with which the entry daemon's decoder agrees.

--- a/src/cassiasail/_internal/coordination/mesh/unsafe_executions.py
+++ b/src/cassiasail/_internal/coordination/mesh/unsafe_executions.py
@@ -13,8 +13,10 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Hashable
+from collections.abc import Callable, Coroutine, Hashable
 from dataclasses import dataclass
+from enum import Enum
+from typing import Any
 
 from ...awake_clock import AwakeClock
 from ...events import EventLog
@@ -37,6 +39,17 @@
 MAX_ENTRY_STARTS = 8192
 
 
+class UnknownReason(Enum):
+    """Why it is not known whether a first copy was executed; written to the log."""
+
+    # It was sent to another start of this daemon.
+    OTHER_START = "other_start"
+    # It was executed here, and its result was too large to be kept for longer.
+    RESULT_DROPPED = "result_dropped"
+    # It may have been executed here longer ago than results are kept.
+    EXECUTION_DROPPED = "execution_dropped"
+
+
 @dataclass(slots=True, kw_only=True)
 class UnsafeExecution:
     """Execution of one unsafe request, shared by all copies of it.
@@ -90,7 +103,9 @@
         self,
         *,
         daemon_start: DaemonStart,
-        execute: Callable[[HostedRequest, UnsafeExecution], Awaitable[HostReply]],
+        execute: Callable[
+            [HostedRequest, UnsafeExecution], Coroutine[Any, Any, HostReply]
+        ],
         awake: AwakeClock,
         events: EventLog,
     ) -> None:
@@ -107,12 +122,12 @@
         """Execute ``hosted``, or wait for the result of its first copy."""
         attempt_id = hosted.request.attempt_id
         execution = self._execution_by_attempt_id.get(attempt_id)
-        reason = self._why_unknown(hosted, execution)
+        reason = self._find_unknown_reason(hosted, execution)
         if reason is not None:
             self._events.write(
                 "resent_request_unknown",
                 attempt=attempt_id,
-                why=reason,
+                why=reason.value,
                 first_sent_to=hosted.first_sent_to,
                 daemon_start=self._daemon_start,
                 resent_ms=int((hosted.resent_after or 0.0) * 1000),
@@ -136,32 +151,34 @@
                     RECONNECT_SECONDS, self._cancel_if_abandoned, execution, task
                 )
 
-    def _why_unknown(
+    def _find_unknown_reason(
         self, hosted: HostedRequest, execution: UnsafeExecution | None
-    ) -> str | None:
+    ) -> UnknownReason | None:
         """Return why the first copy may have run without a result, None if it has not.
 
-        The reason is written to the log.
+        A first copy has none before it.
         """
         if execution is not None:
-            return "result_dropped" if execution.task is None else None
+            return UnknownReason.RESULT_DROPPED if execution.task is None else None
         if hosted.resent_after is None:
             return None
         if hosted.first_sent_to != self._daemon_start:
-            return "other_start"
+            return UnknownReason.OTHER_START
         number = hosted.number
         if number is None or self._dropped_numbers.may_include(number):
-            return "execution_dropped"
+            return UnknownReason.EXECUTION_DROPPED
         return None
 
     def _start(self, hosted: HostedRequest) -> UnsafeExecution:
         # The task needs ``execution`` before it starts, to mark the dispatch in it.
         execution = UnsafeExecution()
-        task = asyncio.ensure_future(self._execute(hosted, execution))
-        assert isinstance(task, asyncio.Task)
-        execution.task = task
-        self._execution_by_attempt_id[hosted.request.attempt_id] = execution
-        task.add_done_callback(lambda _: self._keep_result(hosted, execution))
+        task = execution.task = self._loop.create_task(self._execute(hosted, execution))
+        # The callback must not hold the request with its body while the result is kept.
+        attempt_id, number = hosted.request.attempt_id, hosted.number
+        self._execution_by_attempt_id[attempt_id] = execution
+        task.add_done_callback(
+            lambda _: self._keep_result(attempt_id, number, execution)
+        )
         return execution
 
     @staticmethod
@@ -172,17 +189,18 @@
         if not execution.waiters and not execution.dispatched:
             task.cancel()
 
-    def _keep_result(self, hosted: HostedRequest, execution: UnsafeExecution) -> None:
+    def _keep_result(
+        self, attempt_id: str, number: RequestNumber | None, execution: UnsafeExecution
+    ) -> None:
         """Keep the result of an execution for a while, or only that there was one."""
         task, size = execution.task, 0
         assert task is not None
         if not task.cancelled() and task.exception() is None:
             response = task.result().response
             size = len(response.body) if response is not None else 0
-        self._kept_results.keep(hosted.request.attempt_id, size)
+        self._kept_results.keep(attempt_id, size)
         self._awake.call_later(
-            KEEP_RESULT_SECONDS,
-            lambda: self._drop_execution(hosted.request.attempt_id, hosted.number),
+            KEEP_RESULT_SECONDS, lambda: self._drop_execution(attempt_id, number)
         )
 
     def _drop_result(self, attempt_id: Hashable) -> None:
--- a/src/cassiasail/_internal/protocol/peer_calls.py
+++ b/src/cassiasail/_internal/protocol/peer_calls.py
@@ -4,8 +4,9 @@
 adds the fields from which the host daemon decides whether and when to dispatch the
 request. ``cs-retry`` is set for one that was already dispatched to another target, and
 ``cs-resent`` for the second copy of a request, with the milliseconds since the first.
-``cs-first-sent-to`` has the start of the host daemon that the entry daemon knew when it
-sent the first copy, and ``cs-number`` its own start and the number of the request.
+``cs-first-sent-to`` is the start of the host daemon that the entry daemon knew when it
+sent the first copy, and ``cs-number`` has its own start and the number of the request;
+earlier builds decide by the milliseconds whether the first copy may have run.
 ``cs-limit`` is the rate limit of the target, in requests a second: in a request the one
 that the entry daemon knows, in a response the one in force. ``cs-leaving`` has the id
 and the start time of a target that is leaving. They are headers of their own because
@@ -70,8 +71,6 @@
 # Bytes of the headers that an entry daemon adds, besides what it takes from those of
 # the client: names of a service and a route, and of the service beside it, encoded.
 MAX_ADDED_BYTES = 4096
-# Requests a second that no target takes. A limit above it is refused.
-MAX_RATE = 1e9
 _TRUE, _FALSE = "1", "0"
 
 
@@ -92,7 +91,7 @@
 
 
 def _decode_limit(value: bytes | None) -> float | None:
-    return None if value is None else ranges.parse_number(value, 0.0, MAX_RATE)
+    return None if value is None else ranges.parse_number(value, 0.0, ranges.MAX_RATE)
 
 
 def _encode_leaving(incarnation: Incarnation | None) -> tuple[Header, ...]:
@@ -123,7 +122,7 @@
         return None
     entry_start, number = value.decode("ascii").split(",")
     return RequestNumber(
-        DaemonStart(ranges.name(entry_start)), ranges.parse_integer(number)
+        DaemonStart(ranges.token(entry_start)), ranges.parse_integer(number)
     )
 
 
@@ -210,7 +209,7 @@
             first_sent_to=(
                 None
                 if first_sent_to is None
-                else DaemonStart(ranges.name(first_sent_to.decode("ascii")))
+                else DaemonStart(ranges.token(first_sent_to.decode("ascii")))
             ),
             number=_decode_number(request.header(NUMBER_HEADER)),
             known_limit=_decode_limit(request.header(LIMIT_HEADER)),
--- a/src/cassiasail/_internal/state/hosts.py
+++ b/src/cassiasail/_internal/state/hosts.py
@@ -168,7 +168,7 @@
             _decode_crash(*cborcodec.items(each, at_least=3, limit=3))
             for each in cborcodec.items(crashes, limit=MAX_RECORD_CRASHES)
         ),
-        daemon_start=DaemonStart(ranges.name(added[0])) if added else None,
+        daemon_start=DaemonStart(ranges.token(added[0])) if added else None,
     )
 
 
--- a/src/cassiasail/_internal/state/ranges.py
+++ b/src/cassiasail/_internal/state/ranges.py
@@ -21,6 +21,8 @@
 MAX_SLOTS = 1 << 20
 # A link of a terabit a second.
 MAX_LINK_MBPS = 1 << 20
+# Requests a second that no target takes.
+MAX_RATE = 1e9
 # The limit of the store for each text that names a row.
 MAX_NAME_BYTES = 200
 _MAX_DIGITS = 19
@@ -57,6 +59,14 @@
     return value
 
 
+def token(value: object) -> str:
+    """Return ``value`` if it is a text of ASCII letters and digits."""
+    text = name(value)
+    if not (text.isascii() and text.isalnum()):
+        raise OutOfRangeError("expected a text of ASCII letters and digits")
+    return text
+
+
 def member(value: object, members: type[EnumMember]) -> EnumMember:
     """Return the member of an enumeration whose value is ``value``."""
     for each in members:
--- a/src/cassiasail/platform/requests.py
+++ b/src/cassiasail/platform/requests.py
@@ -1,7 +1,6 @@
 """Requests and responses of clients and targets with the platform's headers."""
 
-import math
-
+from .._internal import metrics
 from .._internal.coordination.mesh.entry import (
     FinalResponse,
     NoRoute,
@@ -14,6 +13,7 @@
 )
 from .._internal.ids import ServiceName, TargetId
 from .._internal.protocol.http1 import HttpRequest, HttpResponse, end_to_end
+from .._internal.state import ranges
 from .._internal.state.calls import ClientRequest, TargetResponse
 
 _ATTEMPT_ID = b"x-cassiasail-attempt-id"
@@ -166,11 +166,13 @@
 
 def _decode_rate_limit(value: bytes | None) -> float | None:
     """Return the requests a second, None if the header is missing or malformed."""
+    if value is None:
+        return None
     try:
-        rate = float(value or b"")
-    except ValueError:
+        return ranges.parse_number(value, 0.0, ranges.MAX_RATE)
+    except ranges.OutOfRangeError:
+        metrics.MESH_ENTRIES_REFUSED.labels("target_limit").inc()
         return None
-    return rate if 0 <= rate < math.inf else None
 
 
 def _decode_attempt_id(response: HttpResponse) -> str | None:
--- a/tests/unit/mesh/test_odd_entries.py
+++ b/tests/unit/mesh/test_odd_entries.py
@@ -412,6 +412,27 @@
     peer_calls.encode_reply(reply, attempt_id="a")
 
 
+@common
+@given(limit=odd_header_texts)
+@example(limit="1e12")
+@example(limit="nan")
+def test_reply_with_an_odd_limit_of_a_target_can_be_read(limit: str) -> None:
+    """Guards against a target whose limit makes all replies of its daemon useless."""
+    headers = ((b"server-limit", limit.encode("latin-1", "replace")),)
+    decoded = TARGET_CODEC.decode(HttpResponse(status=200, headers=headers))
+    load = HostLoad(
+        running=0,
+        waiting=0,
+        slots=1,
+        service_seconds=0.0,
+        failure_share=0.0,
+        rate_limit=decoded.rate_limit,
+    )
+    reply = HostReply(outcome=HostOutcome.REFUSED, load=load)
+    encoded = peer_calls.encode_reply(reply, attempt_id="a")
+    assert peer_calls.decode_reply(encoded) == reply
+
+
 class PageStore:
     """A pool that returns ``body`` as the only page of each table."""
 
--- a/tests/unit/mesh/test_unsafe_executions.py
+++ b/tests/unit/mesh/test_unsafe_executions.py
@@ -1,6 +1,8 @@
 """Copies of unsafe requests that reach their host daemon late, or after a restart."""
 
 import asyncio
+import gc
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -189,3 +191,21 @@
     assert plain.first_sent_to is plain.number is None
     # Targets get none of these headers.
     assert decoded.request.headers == REQUEST.headers
+
+
+def test_body_of_a_request_is_not_held_with_its_result() -> None:
+    """Guards against uploads that fill the memory while their results are kept."""
+
+    async def main() -> None:
+        host = Host()
+        body = bytes(1000)
+        before = sys.getrefcount(body)
+        copy = first_copy()
+        copy = replace(copy, request=replace(copy.request, body=body))
+        await host.executions.execute(copy)
+        del copy
+        await asyncio.sleep(1)
+        gc.collect()
+        assert sys.getrefcount(body) == before
+
+    run(main)
