--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -110,6 +110,7 @@
     ) -> None:
         self.value_by_key: dict[str, bytes] = {}
         self.applied_values: list[bytes] = []
+        self.fails_for: bytes | None = None
         self.order = order
         self.awake = AwakeClock()
         self.follower = TableFollower(
@@ -130,6 +131,8 @@
         self.task = asyncio.create_task(self.follower.run())
 
     def _changed(self, row: StoredRow) -> None:
+        if row.value == self.fails_for:
+            raise OverflowError("the value can't be used")
         self.applied_values.append(row.value)
         self.value_by_key[row.key] = row.value
 
@@ -478,6 +481,26 @@
     assert table_sync.decode_reply(HttpResponse(status=404), default_era=0) is None
 
 
+def test_follower_goes_on_when_the_use_of_a_row_fails() -> None:
+    """Guards against a daemon that takes no later row because of a defect in one."""
+
+    async def main() -> None:
+        store = FakeStore()
+        store.put("k", b"1")
+        node = Node(store, NO_PEERS)
+        await node.wait_for_value(b"1")
+        node.fails_for = b"odd"
+        store.put("k", b"odd")
+        await asyncio.sleep(1)
+        store.put("k", b"2")
+        await node.wait_for_value(b"2")
+        assert not node.task.done()
+        assert b"odd" not in node.applied_values
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(main())
+
+
 class PausingStore(FakeStore):
     """Lets the process stand still once, while a reply waits unread.
 
