Take answered requests out of published crashes

Cause: the records of the VMs have the crashes, and the answers that clear a request were known only to daemons that had seen them. Two crashes a VM were kept, mostly of bystanders, so those of culprits were replaced.

--- a/src/cassiasail/_internal/coordination/mesh/crashes.py
+++ b/src/cassiasail/_internal/coordination/mesh/crashes.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 
 from ...events import EventLog
 from ...state.calls import ClientRequest
@@ -40,11 +41,18 @@
 class CrashHistory:
     """Target crashes known to this daemon and the requests then in flight.
 
-    An incarnation of a target is given by its id and start time.
+    An incarnation of a target is given by its id and start time. ``answered`` is called
+    with each request to which a target responded after a crash.
     """
 
-    def __init__(self, *, events: EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        events: EventLog,
+        answered: Callable[[Fingerprint], None] = lambda fingerprint: None,
+    ) -> None:
         self._events = events
+        self._answered = answered
         self._loop = asyncio.get_running_loop()
         self._crash_by_incarnation: OrderedDict[Incarnation, TargetCrash] = (
             OrderedDict()
@@ -83,8 +91,11 @@
 
     def record_response(self, request: ClientRequest) -> None:
         """Drop the crashes counted for a request to which a target responded."""
-        if self._crash_times_by_fingerprint:
-            self._crash_times_by_fingerprint.pop(request_fingerprint(request), None)
+        if not self._crash_times_by_fingerprint:
+            return
+        fingerprint = request_fingerprint(request)
+        if self._crash_times_by_fingerprint.pop(fingerprint, None) is not None:
+            self._answered(fingerprint)
 
     def _drop_oldest_crash(self) -> None:
         incarnation, crash = self._crash_by_incarnation.popitem(last=False)
--- a/src/cassiasail/_internal/sidecar/own_target.py
+++ b/src/cassiasail/_internal/sidecar/own_target.py
@@ -12,6 +12,7 @@
 from ..background import BackgroundTasks
 from ..coordination.mesh.balancing import Fleet
 from ..coordination.mesh.hosting import TargetDispatcher
+from ..coordination.mesh.published_crashes import PublishedCrashes
 from ..coordination.mesh.publishing import RecordPublisher
 from ..coordination.mesh.registration import (
     HeartbeatVerdict,
@@ -28,6 +29,7 @@
     match_attempt,
 )
 from ..protocol.http1 import HttpRequest, HttpResponse
+from ..state.fingerprints import Fingerprint
 from ..state.hosts import (
     HostRecord,
     Incarnation,
@@ -52,9 +54,9 @@
 # new state. It is well below the second that a target allows. If the daemon is killed
 # after the acknowledgement, its next incarnation finds the state in the store.
 ACKNOWLEDGE_TIMEOUT_SECONDS = 0.6
-# Crashes of targets kept in the record. Other daemons receive each one within seconds,
-# and a daemon that starts needs only the most recent ones.
-MAX_PUBLISHED_CRASHES = 2
+# Requests that are answered within this time of each other after a crash are taken out
+# of the record in one write.
+ACQUIT_BATCH_SECONDS = 1.0
 # A target that misses this many heartbeats in a row is taken out of service.
 MAX_MISSED_HEARTBEATS = 4
 # Version of the record of this VM in the fleet of its own daemon. It is newer than
@@ -99,7 +101,8 @@
         self._last_applied: TargetHeartbeat | None = None
         self._published_state: tuple[Incarnation, TargetState] | None = None
         self._stopping = False
-        self._crashes: tuple[TargetCrash, ...] = ()
+        self._crashes = PublishedCrashes(now=self._loop.time)
+        self._acquit_timer: asyncio.TimerHandle | None = None
         self._registration = TargetRegistration(
             address=settings.target_address,
             changed=self._target_changed,
@@ -158,21 +161,33 @@
         Keeps the crashes in it. If its target may be used again, a health check
         confirms that, so that the target is in service before its next heartbeat.
         """
-        crashes = dict.fromkeys((*record.crashes, *self._crashes))
-        self._crashes = tuple(crashes)[-MAX_PUBLISHED_CRASHES:]
+        self._crashes.restore(record.crashes)
         heartbeat = self._registration.restore(record)
         if heartbeat is not None:
             self._background.start(self._check_health(heartbeat))
 
     def record_crash(self, crash: TargetCrash) -> None:
         """Add ``crash`` to the published record; take the target out of service."""
-        self._crashes = (*self._crashes, crash)[-MAX_PUBLISHED_CRASHES:]
+        self._crashes.add(crash)
         current = self._registration.current
         if current is not None and current.incarnation == crash.incarnation:
             self._registration.suspend()
         # Otherwise a new incarnation is being registered; the record that is published
         # for it includes this crash.
 
+    def acquit(self, fingerprint: Fingerprint) -> None:
+        """Take an answered request out of the published crashes."""
+        if self._crashes.acquit(fingerprint) and self._acquit_timer is None:
+            self._acquit_timer = self._loop.call_later(
+                ACQUIT_BATCH_SECONDS, self._publish_crashes
+            )
+
+    def _publish_crashes(self) -> None:
+        """Publish the record again because its crashes have changed."""
+        self._acquit_timer = None
+        if not self._stopping:
+            self._publish(self._registration.state)
+
     def mark_leaving(self, incarnation: Incarnation) -> None:
         """Take a target out of service whose response states that it is leaving."""
         self._registration.leave(incarnation)
@@ -197,6 +212,8 @@
             paused = now - checked_at - interval
             checked_at = now
             self._last_heartbeat_at = min(now, self._last_heartbeat_at + paused)
+            if self._crashes.expire():
+                self._publish_crashes()
             elapsed = now - self._last_heartbeat_at
             current = self._registration.current
             if current is None or current.leaving:
@@ -291,7 +308,7 @@
             slots=applied.slots,
             state=state,
             link_mbps=int(settings.link_mbps),
-            crashes=self._crashes,
+            crashes=self._crashes.crashes,
             daemon_start=self._daemon_start,
         )
         self._fleet.update(record, OWN_RECORD_VERSION)
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -112,7 +112,10 @@
         self._refusing_clients = False
         self._build_pools()
         tables = TableStore(address=settings.store_address, pool=self._store_pool)
-        self._crashes = CrashHistory(events=events)
+        self._crashes = CrashHistory(
+            events=events,
+            answered=lambda request: self._own_target.acquit(request),
+        )
         self._dispatcher = TargetDispatcher(
             pool=self._target_pool,
             codec=requests.TARGET_CODEC,
