--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -50,11 +50,17 @@
 }
 
 
+# Bound and never listened on, so that no other program gets their ports meanwhile.
+_reservations: list[socket.socket] = []
+
+
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port of the loopback address that is reserved for this run."""
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, 0))
+    _reservations.append(reservation)
+    return int(reservation.getsockname()[1])
 
 
 class Journal:
@@ -141,7 +147,7 @@
         self, port: int, serve: Callable[[Message], Awaitable[bytes | None]]
     ) -> None:
         self.address = (HOST, port)
-        self._serve = serve
+        self.serve = serve
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -164,7 +170,7 @@
         try:
             while True:
                 request = await read_message(reader)
-                answering = asyncio.ensure_future(self._serve(request))
+                answering = asyncio.ensure_future(self.serve(request))
                 answer = await answering
                 if answer is None:
                     break
