Send no interim response in the middle of another response

Cause: a response that is being sent has already left the queue of exchanges, and only that queue was asked before the interim response was written.

Change: the interim response waits until nothing is in flight on the connection. It is left out if the body comes first.

--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -96,6 +96,8 @@
         self._sender: ResponseSender | None = None
         # Bytes received since the last request that belong to no request.
         self._blank_bytes = 0
+        # The client waits for 100 (Continue) before it sends the body.
+        self._expects_continue = False
 
     @property
     def in_flight(self) -> int:
@@ -230,6 +232,7 @@
     def on_message_begin(self) -> None:
         service = self._service
         self._blank_bytes = 0
+        self._expects_continue = False
         self._used(self)
         self._partial = PartialRequest(
             arrived_at=self._loop.time(), limits=service.limits(), memory=service.memory
@@ -246,17 +249,24 @@
 
     def on_headers_complete(self) -> None:
         partial = self._partial
-        assert partial is not None and self._transport is not None
+        assert partial is not None
         partial.complete_header(http_version=self._parser.get_http_version())
         partial.hold_header(0)
-        expects_continue = any(
+        self._expects_continue = any(
             value.lower() == b"100-continue" for value in partial.values(b"expect")
         )
-        if expects_continue and not self._exchanges:
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Tell a client that waits for it to send the body, behind all responses."""
+        if self._expects_continue and self._partial and not self.in_flight:
+            assert self._transport is not None
+            self._expects_continue = False
             self._transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         assert self._partial is not None
+        self._expects_continue = False
         self._partial.add_body(body)
 
     def on_message_complete(self) -> None:
@@ -341,6 +351,7 @@
                 return
         if self._closing or self._is_sending:
             return
+        self._send_continue()
         self._start_runnable()
         if len(self._exchanges) < MAX_PIPELINED:
             self._resume_reading()
--- a/tests/unit/mesh/test_http1_server.py
+++ b/tests/unit/mesh/test_http1_server.py
@@ -354,3 +354,36 @@
         return growth
 
     assert asyncio.run(main()) < 4 * 2 * parts
+
+
+def test_interim_response_waits_for_the_response_before_it() -> None:
+    """Guards against 100 (Continue) in the middle of the body of another response."""
+    body = bytes(range(256)) * 40_000
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(status=200, body=request.body or body)
+
+    async def main() -> bytes:
+        server = HttpServer(handler=answer, limits=lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listening_port(server), limit=4096
+        )
+        writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        # The client takes nothing, so that most of the body is still to be sent.
+        await asyncio.sleep(0.3)
+        head = (
+            b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\nExpect: 100-continue"
+        )
+        writer.write(head + b"\r\n\r\n")
+        await asyncio.sleep(0.1)
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(len(body)) == body
+        interim = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        writer.write(b"spring")
+        final = await asyncio.wait_for(reader.readuntil(b"spring"), 5)
+        writer.close()
+        await server.stop()
+        return interim + final
+
+    assert statuses(asyncio.run(main())) == [100, 200]
