Keep the connection of a client whose answers wait for a slow order

Cause: a response that waits for an earlier one counted like one that its client does not take, and nothing kept further requests from being started while memory was nearly full.

Change: requests behind an unanswered one start only while the expected size of their responses fits half of the memory; the first one of a connection always runs. If memory is short all the same, responses that only wait are replaced by 502, which their clients may send again, and the connection stays. The queue of exchanges is a module of its own.

--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -232,6 +232,11 @@
     ["reason"],
     registry=REGISTRY,
 )
+MESH_RESPONSES_SHED = Counter(
+    "cassiasail_mesh_responses_shed",
+    "Responses behind an unanswered request that were dropped for lack of memory.",
+    registry=REGISTRY,
+)
 MESH_LINK_REFUSALS = Counter(
     "cassiasail_mesh_link_refusals",
     "Requests refused because the link would carry their response too late.",
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -277,6 +277,7 @@
             time_limit=self._client_time_limit,
             unsent=UnsentResponses(limit=unsent_limit),
             max_connections=self._max_client_connections(),
+            outcome_unknown=self._unfinished_response,
         )
         self._peers_server = HttpServer(
             handler=self._serve_peer,
--- a/src/cassiasail/_internal/transport/http1/memory.py
+++ b/src/cassiasail/_internal/transport/http1/memory.py
@@ -74,14 +74,25 @@
     responses: int
     since: float
     drop: Callable[[], None]
+    is_waiting: Callable[[], bool]
+    shed: Callable[[], None]
+
+    def give_way(self) -> None:
+        """Release the responses, and drop the connection if its client takes none."""
+        if self.is_waiting():
+            self.shed()
+        else:
+            self.drop()
 
 
 class UnsentResponses:
     """Bytes of responses that are ready and not taken by their clients.
 
-    Beyond ``limit`` bytes the connection is dropped that has used most memory for
+    Beyond ``limit`` bytes the connection gives way that has used most memory for
     longest, by bytes times seconds. Clients that take their responses at once use
-    nearly none. A single response may exceed the limit.
+    nearly none. A connection whose responses wait for an earlier one, which its client
+    can't take yet, is not dropped but loses these responses. A single response may
+    exceed the limit.
     """
 
     def __init__(self, *, limit: int) -> None:
@@ -90,19 +101,41 @@
         self._held = 0
         self._unsent_by_holder: dict[Hashable, _Unsent] = {}
 
+    @property
+    def limit(self) -> int:
+        """Number of bytes beyond which connections give way."""
+        return self._limit
+
     @property
     def held(self) -> int:
         """Number of bytes of all connections together."""
         return self._held
 
-    def hold(self, holder: Hashable, size: int, drop: Callable[[], None]) -> None:
+    def hold(
+        self,
+        holder: Hashable,
+        size: int,
+        drop: Callable[[], None],
+        *,
+        is_waiting: Callable[[], bool] = lambda: False,
+        shed: Callable[[], None] = lambda: None,
+    ) -> None:
         """Count a response of ``size`` bytes that is ready for ``holder``.
 
-        ``drop`` is called if the connection is to be dropped; it has to release all.
+        ``drop`` is called if the connection is to be dropped, and ``shed`` if its
+        responses are to be and ``is_waiting`` returns that all of them wait for an
+        earlier one; each has to release all.
         """
         unsent = self._unsent_by_holder.get(holder)
         if unsent is None:
-            unsent = _Unsent(size=0, responses=0, since=self._loop.time(), drop=drop)
+            unsent = _Unsent(
+                size=0,
+                responses=0,
+                since=self._loop.time(),
+                drop=drop,
+                is_waiting=is_waiting,
+                shed=shed,
+            )
             self._unsent_by_holder[holder] = unsent
         unsent.size += size
         unsent.responses += 1
@@ -113,7 +146,13 @@
                 self._unsent_by_holder.values(),
                 key=lambda each: (each.size * (now - each.since), each.size),
             )
-            victim.drop()
+            victim.give_way()
+
+    def begin_sending(self, holder: Hashable) -> None:
+        """Note that ``holder`` can take a response from now on."""
+        unsent = self._unsent_by_holder.get(holder)
+        if unsent is not None:
+            unsent.since = self._loop.time()
 
     def release(self, holder: Hashable, size: int) -> None:
         """Release a response that ``holder`` has taken."""
--- a/src/cassiasail/_internal/transport/http1/response_sender.py
+++ b/src/cassiasail/_internal/transport/http1/response_sender.py
@@ -33,7 +33,8 @@
     ``finished`` is called after a response that could not be sent at once, with whether
     it was the last one, and ``ready`` when the client takes responses again.
     ``dropped`` is called if the connection is to be aborted: its client takes nothing,
-    or uses most of the memory for responses.
+    or uses most of the memory for responses. ``is_waiting`` returns whether all
+    responses wait for one that is not ready, and ``shed`` drops them.
     """
 
     def __init__(
@@ -44,10 +45,13 @@
         finished: Callable[[bool], None],
         ready: Callable[[], None],
         dropped: Callable[[], None],
+        is_waiting: Callable[[], bool],
+        shed: Callable[[], None],
     ) -> None:
         self._transport = transport
         self._service = service
         self._finished, self._ready, self._dropped = finished, ready, dropped
+        self._is_waiting, self._shed = is_waiting, shed
         self._loop = asyncio.get_running_loop()
         self._writer = MessageWriter(
             transport=transport, pacer=service.pacer, finished=self._sent
@@ -88,7 +92,13 @@
     def hold(self, response: HttpResponse) -> int:
         """Count a response that is ready to be sent; return its counted size."""
         size = len(response.body)
-        self._service.unsent.hold(self, size, self._drop_unsent)
+        self._service.unsent.hold(
+            self,
+            size,
+            self._drop_unsent,
+            is_waiting=lambda: self._sending is None and self._is_waiting(),
+            shed=self._shed_waiting,
+        )
         return size
 
     def send(
@@ -105,6 +115,7 @@
             idle_seconds=self._service.limits().idle_seconds,
         )
         self._sending = _Sending(size=size, close=close)
+        self._service.unsent.begin_sending(self)
         if self._writer.write(head, body, urgent=response.urgent):
             self._end()
             return True
@@ -149,6 +160,10 @@
         metrics.MESH_CLIENTS_DROPPED.labels("unsent_responses").inc()
         self._dropped()
 
+    def _shed_waiting(self) -> None:
+        self._shed()
+        self._service.unsent.release_all(self)
+
     def _watch_stall(self) -> None:
         """Drop the connection if the client takes nothing for the idle time."""
         if self._stall_timer is None:
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -6,6 +6,7 @@
 from ... import metrics
 from ...protocol.http1 import HttpRequest, HttpResponse
 from ...state.mesh_config import ClientLimits
+from .exchange_queue import UnansweredRequest
 from .link_pacer import LinkPacer
 from .memory import (
     MAX_REQUEST_BODIES_BYTES,
@@ -13,8 +14,14 @@
     BodyMemory,
     UnsentResponses,
 )
-from .server_connection import ServerConnection, UnansweredRequest
-from .service import Handler, HttpService, TimeLimit
+from .server_connection import ServerConnection
+from .service import (
+    Handler,
+    HttpService,
+    OutcomeUnknown,
+    TimeLimit,
+    bad_gateway,
+)
 
 
 class HttpServer:
@@ -27,7 +34,8 @@
     limit, the whole body must arrive within the idle timeout. ``unsent`` counts the
     responses that clients have not taken. ``pacer`` paces large responses. Beyond
     ``max_connections`` the connection that was idle for longest is closed, or the new
-    one if none is idle.
+    one if none is idle. ``outcome_unknown`` returns the response to a request whose own
+    response was dropped.
     """
 
     def __init__(
@@ -40,6 +48,7 @@
         unsent: UnsentResponses | None = None,
         pacer: LinkPacer | None = None,
         max_connections: int | None = None,
+        outcome_unknown: OutcomeUnknown = bad_gateway,
     ) -> None:
         self.memory = memory or BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
         self._service = HttpService(
@@ -49,6 +58,7 @@
             memory=self.memory,
             unsent=unsent or UnsentResponses(limit=MAX_UNSENT_BYTES),
             pacer=pacer,
+            outcome_unknown=outcome_unknown,
         )
         self._max_connections = max_connections
         # In the order of their last request, the first one being the oldest.
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -7,67 +7,30 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 import httptools
 
 from ... import metrics
 from ...protocol.http1 import Header, HttpRequest, HttpResponse
+from .exchange_queue import MAX_PIPELINED as MAX_PIPELINED
+from .exchange_queue import Exchange, ExchangeQueue, UnansweredRequest
 from .partial_request import PartialRequest, RejectedError
 from .response_sender import RECEIVED_CHECK_FRACTION, ResponseSender
 from .service import HttpService
 
 logger = logging.getLogger(__name__)
 
-# Requests of one connection that may be without a response; reading pauses at this
-# number.
-MAX_PIPELINED = 16
 # After the last response, the connection is still read for this long, and as often
 # again while the client receives it. Otherwise late bytes of the client could reset the
 # connection before that response has arrived.
 LINGERING_CLOSE_SECONDS = 1.0
-SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 # Bytes before a request that belong to none: empty lines, which servers should ignore
 # (RFC 9112, section 2.2). Clients send one or two, if any.
 MAX_BLANK_BYTES = 256
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclass(slots=True, kw_only=True)
-class _Exchange:
-    """A complete request and, once it is done, its response."""
-
-    request: HttpRequest
-    keep_alive: bool
-    # Holds the memory for the body; None for a request that was rejected.
-    partial: PartialRequest | None = None
-    task: "asyncio.Task[None] | None" = None
-    response: HttpResponse | None = None
-    done: bool = False
-    # Size of the response as counted in the memory for responses not taken.
-    unsent_size: int | None = None
-
-    def release_memory(self) -> None:
-        """Release the memory for the body of the request."""
-        if self.partial is not None:
-            self.partial.release_memory()
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class UnansweredRequest:
-    """A complete request whose response was not written yet.
-
-    ``position`` is the number of requests before it on its connection that are not
-    answered either. ``has_response`` is true if its response waits only for theirs.
-    """
-
-    request: HttpRequest
-    position: int
-    has_response: bool
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection of a client.
 
@@ -86,7 +49,7 @@
         self._service = service
         self._opened, self._closed, self._used = opened, closed, used
         self._loop = asyncio.get_running_loop()
-        self._exchanges: deque[_Exchange] = deque()
+        self._exchanges = ExchangeQueue(service=service, done=self._finish)
         self._partial: PartialRequest | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
@@ -119,20 +82,11 @@
 
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the complete requests whose response was not written yet."""
-        for position, exchange in enumerate(self._exchanges):
-            yield UnansweredRequest(
-                request=exchange.request,
-                position=position,
-                has_response=exchange.done,
-            )
+        yield from self._exchanges.unanswered()
 
     def answer_unfinished(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
         """Answer the started requests now; see ``HttpServer.answer_unfinished``."""
-        for exchange in self._exchanges:
-            if exchange.task is not None and not exchange.done:
-                exchange.task.cancel()
-                exchange.response = respond(exchange.request)
-                exchange.done = True
+        self._exchanges.answer_unfinished(respond)
         self._write_finished()
 
     # Callbacks of asyncio.
@@ -146,6 +100,8 @@
             finished=self._continue_after,
             ready=self._write_finished,
             dropped=self.abort,
+            is_waiting=lambda: self._exchanges.is_waiting,
+            shed=self._exchanges.shed_waiting,
         )
         self._opened(self)
         self._start_idle_timer()
@@ -185,15 +141,14 @@
 
     def _parse(self, data: bytes) -> None:
         # Behind the last request of the connection, bytes are ignored.
-        if self._closing or (self._exchanges and not self._exchanges[-1].keep_alive):
+        if self._closing or self._exchanges.has_last:
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             # The server supports no upgrade. The parser has delivered the request as
             # a normal one, but accepts no further bytes on this connection.
-            if self._exchanges:
-                self._exchanges[-1].keep_alive = False
+            self._exchanges.mark_last()
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if not isinstance(cause, RejectedError):
@@ -201,7 +156,7 @@
             self._reject(cause.status, cause.headers)
         except httptools.HttpParserError:
             # Bytes after a request with "Connection: close" are ignored.
-            if not (self._exchanges and not self._exchanges[-1].keep_alive):
+            if not self._exchanges.has_last:
                 self._reject(400)
         else:
             if self._partial is not None:
@@ -249,7 +204,7 @@
 
     def on_headers_complete(self) -> None:
         partial = self._partial
-        assert partial is not None
+        assert partial is not None and self._transport is not None
         partial.complete_header(http_version=self._parser.get_http_version())
         partial.hold_header(0)
         self._expects_continue = any(
@@ -276,8 +231,8 @@
         # ``partial`` stays as the holder of the memory until the response is written.
         partial.body = bytearray()
         keep_alive = self._parser.should_keep_alive()
-        self._exchanges.append(
-            _Exchange(request=request, keep_alive=keep_alive, partial=partial)
+        self._exchanges.add(
+            Exchange(request=request, keep_alive=keep_alive, partial=partial)
         )
         self._stop_timer()
         self._start_runnable()
@@ -287,28 +242,13 @@
     # Responses.
 
     def _start_runnable(self) -> None:
-        """Start the requests that may run now.
-
-        Safe requests run concurrently with earlier ones. Any other request waits until
-        it is the first, because an earlier response may close the connection.
-        """
         if self._sender is not None and self._sender.is_blocked:
             # The client doesn't take the responses that are ready.
             return
-        for position, exchange in enumerate(self._exchanges):
-            if position and exchange.request.method not in SAFE_METHODS:
-                return
-            if exchange.task is None and not exchange.done:
-                exchange.task = self._loop.create_task(self._handle(exchange))
+        self._exchanges.start_runnable()
 
-    async def _handle(self, exchange: _Exchange) -> None:
-        """Run the handler; a failure of it becomes a response with status 500."""
-        try:
-            exchange.response = await self._service.handler(exchange.request)
-        except Exception:
-            logger.exception("request handler failed; responding with status 500")
-            exchange.response = HttpResponse(status=500)
-        exchange.done = True
+    def _finish(self, exchange: Exchange) -> None:
+        """Send the response of ``exchange``, or hold it until it is due."""
         if exchange.response is not None and self._sender and not self._closing:
             exchange.unsent_size = self._sender.hold(exchange.response)
         self._write_finished()
@@ -325,13 +265,13 @@
     def _write_finished(self) -> None:
         """Write the responses that are due in order, then start the next requests."""
         transport, sender = self._transport, self._sender
-        while self._exchanges and self._exchanges[0].done:
+        while self._exchanges and not self._exchanges.is_waiting:
             if self._closing or transport is None or sender is None:
                 return
             if sender.is_sending or sender.is_blocked:
                 return
-            exchange = self._exchanges.popleft()
-            exchange.release_memory()
+            exchange = self._exchanges.pop_done()
+            assert exchange is not None
             if exchange.response is None:
                 transport.abort()
                 return
@@ -398,12 +338,15 @@
         """Respond with ``status`` after the pending responses, then close."""
         if self._closing:
             return
-        request = HttpRequest(method=b"GET", target=b"/", headers=())
-        exchange = _Exchange(request=request, keep_alive=False)
-        exchange.response = HttpResponse(status=status, headers=headers)
-        exchange.done = True
         self._drop_partial()
-        self._exchanges.append(exchange)
+        self._exchanges.add(
+            Exchange(
+                request=HttpRequest(method=b"GET", target=b"/", headers=()),
+                keep_alive=False,
+                response=HttpResponse(status=status, headers=headers),
+                done=True,
+            )
+        )
         self._stop_timer()
         self._write_finished()
 
@@ -487,10 +430,6 @@
     def _cancel_exchanges(self) -> None:
         """Cancel requests whose response was not written yet."""
         self._drop_partial()
-        for exchange in self._exchanges:
-            exchange.release_memory()
-            if exchange.task is not None:
-                exchange.task.cancel()
         self._exchanges.clear()
 
     def close_gracefully(self) -> None:
--- a/src/cassiasail/_internal/transport/http1/service.py
+++ b/src/cassiasail/_internal/transport/http1/service.py
@@ -8,11 +8,22 @@
 from .hangup_watch import HangupWatch
 from .link_pacer import LinkPacer
 from .memory import MAX_UNSENT_BYTES, BodyMemory, UnsentResponses
+from .pipelining import PipelinedRequests
+
+# Requests behind others that run at a time, for servers that set no limit.
+MAX_PIPELINED_TOGETHER = 256
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
 # Receives a request without its body; returns the seconds from its arrival to its
 # deadline, None if it has none.
 TimeLimit = Callable[[HttpRequest], float | None]
+# Returns the response to a request that may have run; it promises nothing.
+OutcomeUnknown = Callable[[HttpRequest], HttpResponse]
+
+
+def bad_gateway(request: HttpRequest) -> HttpResponse:
+    """Return the plain response to a request that may have run."""
+    return HttpResponse(status=502)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -21,7 +32,8 @@
 
     While it is ``draining``, responses close their connections. ``hangups`` watches the
     connections that are not read for a while. ``unsent`` counts responses that clients
-    have not taken, and ``pacer`` paces large ones if they leave over a link.
+    have not taken, ``pipelined`` the requests that run behind others, and ``pacer``
+    paces large responses if they leave over a link.
     """
 
     handler: Handler
@@ -32,5 +44,11 @@
         default_factory=lambda: UnsentResponses(limit=MAX_UNSENT_BYTES)
     )
     pacer: LinkPacer | None = None
+    max_pipelined: int = MAX_PIPELINED_TOGETHER
+    outcome_unknown: OutcomeUnknown = bad_gateway
     draining: bool = False
     hangups: HangupWatch = field(default_factory=HangupWatch)
+    pipelined: PipelinedRequests = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.pipelined = PipelinedRequests(limit=self.max_pipelined, unsent=self.unsent)
