Divide the descriptors of a daemon among its uses

Seen by callers: with 100 clients that pipeline 16 requests and read nothing, all 1,024 descriptors of a daemon were in use; with 400 that send one byte, 16 of 18 ordinary requests were reset. The logs got thousands of tracebacks.

Cause: only accepted clients had a limit, and it was applied after the event loop had accepted all that had arrived. Connections to hosts and targets and those from other daemons had none. A connection with an unfinished head did not count as idle, so the new one was closed.

Change: each use has a share of the descriptors. A listener of our own accepts a few connections at a time and counts them at once. At the limit, held-up heads and bodies go first, then idle connections, then clients that take no response; if all are in use, the new client gets 503 with a Retry-After of its own. A request without a free connection to a host is refused at once. The descriptors that the platform reserves for files count no longer.

--- a/src/cassiasail/_internal/coordination/mesh/peers.py
+++ b/src/cassiasail/_internal/coordination/mesh/peers.py
@@ -107,6 +107,8 @@
 
 
 def _reply_of_failure(result: ExchangeFailed) -> HostReply:
+    if result.reason is FailureReason.NO_DESCRIPTOR:
+        return HostReply(outcome=HostOutcome.REFUSED, reason=HostReason.NO_DESCRIPTOR)
     if not result.sent:
         return HostReply(
             outcome=HostOutcome.REFUSED, reason=HostReason.PEER_UNREACHABLE
--- a/src/cassiasail/_internal/coordination/mesh/target_responses.py
+++ b/src/cassiasail/_internal/coordination/mesh/target_responses.py
@@ -17,6 +17,7 @@
 
 _REASON_BY_FAILURE = {
     FailureReason.CONNECT_FAILED: HostReason.TARGET_DOWN,
+    FailureReason.NO_DESCRIPTOR: HostReason.NO_DESCRIPTOR,
     FailureReason.RESET: HostReason.TARGET_RESET,
     FailureReason.CUT_SHORT: HostReason.TARGET_RESPONSE_TRUNCATED,
     FailureReason.MALFORMED: HostReason.TARGET_RESPONSE_CORRUPT,
--- a/src/cassiasail/_internal/metrics.py
+++ b/src/cassiasail/_internal/metrics.py
@@ -232,11 +232,27 @@
     ["reason"],
     registry=REGISTRY,
 )
+ACCEPTS_FAILED = Counter(
+    "cassiasail_accepts_failed",
+    "Connections that could not be accepted at once for lack of descriptors.",
+    registry=REGISTRY,
+)
+MESH_CLIENTS_REFUSED = Counter(
+    "cassiasail_mesh_clients_refused",
+    "Requests on connections beyond the limit, each refused with 503 and closed.",
+    registry=REGISTRY,
+)
 MESH_RESPONSES_SHED = Counter(
     "cassiasail_mesh_responses_shed",
     "Responses behind an unanswered request that were dropped for lack of memory.",
     registry=REGISTRY,
 )
+MESH_CONNECTIONS_REFUSED = Counter(
+    "cassiasail_mesh_connections_refused",
+    "Requests to hosts or targets without a free connection, by where to.",
+    ["use"],
+    registry=REGISTRY,
+)
 MESH_LINK_REFUSALS = Counter(
     "cassiasail_mesh_link_refusals",
     "Requests refused because the link would carry their response too late.",
--- a/src/cassiasail/_internal/protocol/exchanges.py
+++ b/src/cassiasail/_internal/protocol/exchanges.py
@@ -13,6 +13,8 @@
     """Why an exchange has no response; the value is used in logs and metric labels."""
 
     CONNECT_FAILED = "connect_failed"
+    # This process may open no further connection.
+    NO_DESCRIPTOR = "no_descriptor"
     RESET = "reset"
     CUT_SHORT = "cut_short"
     MALFORMED = "malformed"
--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -4,7 +4,6 @@
 import itertools
 import logging
 import os
-import resource
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -44,6 +43,8 @@
 from ..state.client_accounts import ClientAccounts
 from ..state.hosts import TargetState
 from ..state.mesh_config import ClientLimits, MeshConfig
+from ..transport.connection_table import SERVICE_HELD_UP_SECONDS
+from ..transport.descriptors import shares_of
 from ..transport.http1.link_pacer import LinkPacer
 from ..transport.http1.memory import (
     MAX_REQUEST_BODIES_BYTES,
@@ -55,6 +56,7 @@
 )
 from ..transport.http1.pool import ConnectionPool
 from ..transport.http1.server import HttpServer
+from ..transport.http1.service import Handler
 from .own_target import OwnTarget
 from .store_view import HOSTS_TABLE, StoreView
 
@@ -105,9 +107,8 @@
 DAEMON_START_BYTES = 8
 BYTES_PER_MB = 1 << 20
 BYTES_PER_MEGABIT = 125_000
-# Share of the descriptors of the process for clients. The rest is for other daemons,
-# the target and the store, without which no client can be served.
-CLIENT_DESCRIPTOR_SHARE = 0.6
+# Requests behind others may use this share of the connections to hosts.
+PIPELINED_SHARE = 0.5
 # Delay before background work that ended or failed is restarted.
 RESTART_DELAY_SECONDS = 1.0
 
@@ -193,13 +194,9 @@
         """Return ``limit``, or less on a VM with little memory."""
         return limit_for(self._settings.memory_mb * BYTES_PER_MB, limit)
 
-    def _max_client_connections(self) -> int:
-        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        descriptors = min(self._settings.max_descriptors, soft_limit)
-        return max(1, int(CLIENT_DESCRIPTOR_SHARE * descriptors))
-
     def _build_pools(self) -> None:
         memory = BodyMemory(limit=self._memory_limit(MAX_RESPONSE_BODIES_BYTES))
+        self._descriptors = shares_of(self._settings.max_descriptors)
         link_bytes = self._settings.link_mbps * BYTES_PER_MEGABIT
         self._pacer = LinkPacer(bytes_per_second=link_bytes) if link_bytes else None
         self._peer_pool = ConnectionPool(
@@ -208,12 +205,16 @@
             idle_timeout=PEER_IDLE_TIMEOUT_SECONDS,
             memory=memory,
             pacer=self._pacer,
+            max_connections=self._descriptors.hosts,
+            use="hosts",
         )
         self._target_pool = ConnectionPool(
             connect_timeout=TARGET_CONNECT_TIMEOUT_SECONDS,
             ack_timeout=TARGET_ACK_TIMEOUT_SECONDS,
             idle_timeout=TARGET_IDLE_TIMEOUT_SECONDS,
             memory=memory,
+            max_connections=self._descriptors.target,
+            use="target",
         )
         self._store_pool = ConnectionPool(
             connect_timeout=STORE_CONNECT_TIMEOUT_SECONDS,
@@ -270,13 +271,16 @@
     def _build_servers(self) -> None:
         memory = BodyMemory(limit=self._memory_limit(MAX_REQUEST_BODIES_BYTES))
         unsent_limit = self._memory_limit(MAX_UNSENT_BYTES)
+        descriptors = self._descriptors
         self._clients_server = HttpServer(
             handler=self._serve_client,
             limits=self._client_limits,
             memory=memory,
             time_limit=self._client_time_limit,
             unsent=UnsentResponses(limit=unsent_limit),
-            max_connections=self._max_client_connections(),
+            max_connections=descriptors.clients,
+            max_refused=descriptors.refused,
+            max_pipelined=int(PIPELINED_SHARE * descriptors.hosts),
             outcome_unknown=self._unfinished_response,
         )
         self._peers_server = HttpServer(
@@ -285,16 +289,23 @@
             memory=memory,
             unsent=UnsentResponses(limit=unsent_limit),
             pacer=self._pacer,
+            max_connections=descriptors.peers,
+            max_refused=descriptors.refused,
         )
-        self._heartbeats_server = HttpServer(
-            handler=self._own_target.serve_heartbeat, limits=_default_limits
-        )
-        self._metrics_server = HttpServer(
-            handler=self._serve_metrics, limits=_default_limits
-        )
-        self._readiness_server = HttpServer(
-            handler=self._serve_readiness, limits=_default_limits
-        )
+
+        def service_server(handler: Handler) -> HttpServer:
+            return HttpServer(
+                handler=handler,
+                limits=_default_limits,
+                max_connections=descriptors.service,
+                max_refused=descriptors.refused,
+                max_pipelined=0,
+                held_up_seconds=SERVICE_HELD_UP_SECONDS,
+            )
+
+        self._heartbeats_server = service_server(self._own_target.serve_heartbeat)
+        self._metrics_server = service_server(self._serve_metrics)
+        self._readiness_server = service_server(self._serve_readiness)
 
     @property
     def ready(self) -> bool:
--- a/src/cassiasail/_internal/state/calls.py
+++ b/src/cassiasail/_internal/state/calls.py
@@ -117,6 +117,8 @@
     NO_TARGET = "no_target"
     # The current target of the host daemon belongs to another service.
     OTHER_SERVICE = "other_target"
+    # This daemon, or the host daemon, may open no further connection.
+    NO_DESCRIPTOR = "no_descriptor"
     # The target accepted no connection.
     TARGET_DOWN = "target_down"
     # The target states that it did not execute the request.
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 
@@ -43,11 +44,19 @@
 class ClientConnection(asyncio.Protocol):
     """One connection to a server; doesn't support concurrent requests.
 
-    ``pacer`` paces large requests that leave over a link.
+    ``pacer`` paces large requests that leave over a link. ``closed`` is called when the
+    connection is closed.
     """
 
-    def __init__(self, *, memory: BodyMemory, pacer: LinkPacer | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        memory: BodyMemory,
+        pacer: LinkPacer | None = None,
+        closed: Callable[[], None] = lambda: None,
+    ) -> None:
         self._memory = memory
+        self._closed = closed
         self._pacer = pacer
         self._writer: MessageWriter | None = None
         self._loop = asyncio.get_running_loop()
@@ -85,6 +94,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.reusable = False
+        self._closed()
         if self._writer is not None:
             self._writer.stop()
         reason = FailureReason.CUT_SHORT if exc is None else FailureReason.RESET
@@ -315,21 +325,33 @@
     ack_timeout: float,
     memory: BodyMemory,
     pacer: LinkPacer | None = None,
+    closed: Callable[[], None] = lambda: None,
 ) -> ClientConnection | ExchangeFailed:
     """Open a connection within ``timeout`` seconds.
 
     The kernel closes it if the server acknowledges nothing for ``ack_timeout`` seconds.
     ``memory`` holds the body of a response while it is read; ``pacer`` paces large
-    requests.
+    requests. ``closed`` is called when the connection is closed.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             transport, connection = await loop.create_connection(
-                lambda: ClientConnection(memory=memory, pacer=pacer), host, port
+                lambda: ClientConnection(memory=memory, pacer=pacer, closed=closed),
+                host,
+                port,
             )
-    except (OSError, TimeoutError):
+    except TimeoutError:
         return ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
+    except OSError as error:
+        # Without a descriptor nothing is known about the server.
+        lacks_descriptor = error.errno in (errno.EMFILE, errno.ENFILE)
+        return ExchangeFailed(
+            reason=FailureReason.NO_DESCRIPTOR
+            if lacks_descriptor
+            else FailureReason.CONNECT_FAILED,
+            sent=False,
+        )
     tcp_socket = transport.get_extra_info("socket")
     if tcp_socket is not None:
         set_ack_timeout(tcp_socket, ack_timeout)
--- a/src/cassiasail/_internal/transport/http1/partial_request.py
+++ b/src/cassiasail/_internal/transport/http1/partial_request.py
@@ -8,9 +8,6 @@
 from ...state.mesh_config import ClientLimits
 from .memory import BodyMemory
 
-# Retry-After of a request whose body does not fit into memory; the others are done or
-# timed out soon.
-RETRY_BODY_SECONDS = 0.5
 # Bytes of a header line besides name and value: colon, space and line end.
 HEADER_LINE_OVERHEAD_BYTES = 4
 # Memory of a header line besides its bytes: two byte strings and a pair.
@@ -20,10 +17,9 @@
 class RejectedError(Exception):
     """Raised in parser callbacks to reject a request with ``status``."""
 
-    def __init__(self, status: int, headers: tuple[Header, ...] = ()) -> None:
+    def __init__(self, status: int) -> None:
         super().__init__(status)
         self.status = status
-        self.headers = headers
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -99,9 +95,8 @@
         lines = len(self.headers) * HEADER_LINE_MEMORY_BYTES
         size = max(self.header_bytes_parsed + lines, received)
         added = size - self.held_header_bytes
-        if added > 0 and not self.memory.try_hold(self, added):
-            metrics.MESH_BODIES_REFUSED.inc()
-            raise RejectedError(503, ((b"retry-after", b"%.1f" % RETRY_BODY_SECONDS),))
+        if added > 0:
+            self._hold(added)
         self.held_header_bytes = max(size, self.held_header_bytes)
 
     def complete_header(self, *, http_version: str) -> None:
@@ -143,12 +138,14 @@
 
     def _hold_body(self, size: int) -> None:
         """Hold memory for ``size`` bytes of the body, or reject the request."""
-        if size <= self.held_bytes:
-            return
-        if not self.memory.try_hold(self, size - self.held_bytes):
+        if size > self.held_bytes:
+            self._hold(size - self.held_bytes)
+            self.held_bytes = size
+
+    def _hold(self, size: int) -> None:
+        if not self.memory.try_hold(self, size):
             metrics.MESH_BODIES_REFUSED.inc()
-            raise RejectedError(503, ((b"retry-after", b"%.1f" % RETRY_BODY_SECONDS),))
-        self.held_bytes = size
+            raise RejectedError(503)
 
     def _convert_absolute_target(self) -> None:
         # RFC 9112, section 3.2.2: the host of the target overrides the Host header.
--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ... import metrics
 from ...protocol.exchanges import (
     Address,
     ExchangeFailed,
@@ -39,7 +40,9 @@
     ``ack_timeout`` how long sent bytes may stay unacknowledged, and ``idle_timeout``
     how long a connection may be idle and still be reused. ``memory`` holds the bodies
     of the responses that are being read; several pools may share it. ``pacer`` paces
-    large requests that leave over a link.
+    large requests that leave over a link. At most ``max_connections`` are open at a
+    time: an idle one is closed for a new one, and without one the exchange fails.
+    ``use`` is the label of such failures.
     """
 
     def __init__(
@@ -50,8 +53,14 @@
         idle_timeout: float,
         memory: BodyMemory | None = None,
         pacer: LinkPacer | None = None,
+        max_connections: int | None = None,
+        use: str = "other",
     ) -> None:
         self._pacer = pacer
+        self._max_connections = max_connections
+        self._use = use
+        # Connections that are open or being opened.
+        self._connections = 0
         self._memory = memory or BodyMemory(limit=MAX_RESPONSE_BODIES_BYTES)
         self._connect_timeout = connect_timeout
         self._ack_timeout = ack_timeout
@@ -82,15 +91,7 @@
             0.0 if connection is None else self._loop.time() - connection.idle_since
         )
         if connection is None:
-            connect_timeout = min(self._connect_timeout, timeout)
-            opened = await connect(
-                address.host,
-                address.port,
-                timeout=connect_timeout,
-                ack_timeout=self._ack_timeout,
-                memory=self._memory,
-                pacer=self._pacer,
-            )
+            opened = await self._open(address, min(self._connect_timeout, timeout))
             if isinstance(opened, ExchangeFailed):
                 return opened
             connection = opened
@@ -104,6 +105,44 @@
             self._reduce_idle_limit(address, idle_seconds)
         return result
 
+    async def _open(
+        self, address: Address, timeout: float
+    ) -> ClientConnection | ExchangeFailed:
+        if not self._make_room():
+            metrics.MESH_CONNECTIONS_REFUSED.labels(self._use).inc()
+            return ExchangeFailed(reason=FailureReason.NO_DESCRIPTOR, sent=False)
+        self._connections += 1
+        is_counted = True
+
+        def count_closed() -> None:
+            nonlocal is_counted
+            if is_counted:
+                is_counted = False
+                self._connections -= 1
+
+        opened = await connect(
+            address.host,
+            address.port,
+            timeout=timeout,
+            ack_timeout=self._ack_timeout,
+            memory=self._memory,
+            pacer=self._pacer,
+            closed=count_closed,
+        )
+        if isinstance(opened, ExchangeFailed):
+            count_closed()
+        return opened
+
+    def _make_room(self) -> bool:
+        """Close the longest idle connection if the limit is reached; false without."""
+        if self._max_connections is None or self._connections < self._max_connections:
+            return True
+        idle = [each for each in self._idle_by_address.values() if each]
+        if not idle:
+            return False
+        min(idle, key=lambda connections: connections[0].idle_since).pop(0).close()
+        return True
+
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to ``address`` and reset its idle limit."""
         self._reduced_idle_limit_by_address.pop(address, None)
--- a/src/cassiasail/_internal/transport/http1/response_sender.py
+++ b/src/cassiasail/_internal/transport/http1/response_sender.py
@@ -62,6 +62,8 @@
         # time at which a check last found a change.
         self._unacknowledged_bytes = 0
         self._progress_at = 0.0
+        # Loop time since when the client has not taken what was sent, None if it has.
+        self.blocked_since: float | None = None
 
     @property
     def is_sending(self) -> bool:
@@ -125,10 +127,12 @@
     def pause(self) -> None:
         """Send no more for now: the buffer of the transport is full."""
         self._writer.pause()
+        self.blocked_since = self._loop.time()
         self._watch_stall()
 
     def resume(self) -> None:
         """Continue: the client has taken most of the buffer."""
+        self.blocked_since = None
         self._writer.resume()
         if self._sending is None:
             self._ready()
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable, Iterator
 
-from ... import metrics
 from ...protocol.http1 import HttpRequest, HttpResponse
 from ...state.mesh_config import ClientLimits
+from ..connection_table import HELD_UP_SECONDS, ConnectionTable
+from ..listener import Listener
 from .exchange_queue import UnansweredRequest
 from .link_pacer import LinkPacer
 from .memory import (
@@ -16,6 +17,7 @@
 )
 from .server_connection import ServerConnection
 from .service import (
+    MAX_PIPELINED_TOGETHER,
     Handler,
     HttpService,
     OutcomeUnknown,
@@ -32,10 +34,15 @@
     request whose body does not fit gets 503 and is not handled. One whose body is
     incomplete at its ``time_limit`` gets 408 and is not handled either; without a time
     limit, the whole body must arrive within the idle timeout. ``unsent`` counts the
-    responses that clients have not taken. ``pacer`` paces large responses. Beyond
-    ``max_connections`` the connection that was idle for longest is closed, or the new
-    one if none is idle. ``outcome_unknown`` returns the response to a request whose own
-    response was dropped.
+    responses that clients have not taken. ``pacer`` paces large responses.
+
+    Beyond ``max_connections`` one that is not in use, or without progress for
+    ``held_up_seconds``, is closed for a new one. If all are in use, requests on the new
+    one get 503; ``max_refused`` of these are kept at a time.
+
+    ``max_pipelined`` limits the requests that run before earlier ones of their
+    connections are answered. ``outcome_unknown`` returns the response to a request
+    whose own response was dropped.
     """
 
     def __init__(
@@ -48,7 +55,10 @@
         unsent: UnsentResponses | None = None,
         pacer: LinkPacer | None = None,
         max_connections: int | None = None,
+        max_refused: int | None = None,
+        max_pipelined: int = MAX_PIPELINED_TOGETHER,
         outcome_unknown: OutcomeUnknown = bad_gateway,
+        held_up_seconds: float = HELD_UP_SECONDS,
     ) -> None:
         self.memory = memory or BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
         self._service = HttpService(
@@ -58,28 +68,35 @@
             memory=self.memory,
             unsent=unsent or UnsentResponses(limit=MAX_UNSENT_BYTES),
             pacer=pacer,
+            max_pipelined=max_pipelined,
             outcome_unknown=outcome_unknown,
         )
-        self._max_connections = max_connections
-        # In the order of their last request, the first one being the oldest.
-        self._connections: dict[ServerConnection, None] = {}
-        self._server: asyncio.Server | None = None
+        self._table = ConnectionTable[ServerConnection](
+            limit=max_connections, held_up_seconds=held_up_seconds
+        )
+        self._refused = ConnectionTable[ServerConnection](limit=max_refused)
+        self._listener = Listener(accept=self._accept, close_one=self._table.close_one)
 
     @property
     def connections(self) -> tuple[ServerConnection, ...]:
         """The open connections."""
-        return tuple(self._connections)
+        return self._table.connections + self._refused.connections
+
+    @property
+    def port(self) -> int:
+        """The port on which the server listens."""
+        return self._listener.port
 
     @property
     def in_flight(self) -> int:
         """Number of requests whose response was not handed to the transport yet."""
-        return sum(connection.in_flight for connection in self._connections)
+        return sum(connection.in_flight for connection in self.connections)
 
     @property
     def sending(self) -> bool:
         """Whether a client has not yet acknowledged all bytes of its responses."""
         return any(
-            connection.unacknowledged_bytes() for connection in self._connections
+            connection.has_unreceived_response() for connection in self.connections
         )
 
     def unanswered(self) -> Iterator[UnansweredRequest]:
@@ -89,44 +106,23 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host`` and ``port``."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ServerConnection(
-                service=self._service,
-                opened=self._open,
-                closed=self._close,
-                used=self._use,
-            ),
-            host,
-            port,
-            backlog=1024,
-        )
-
-    def _open(self, connection: ServerConnection) -> None:
-        """Count a new connection, and close one if there are too many."""
-        self._connections[connection] = None
-        limit = self._max_connections
-        if limit is None or len(self._connections) <= limit:
-            return
-        idle = (
-            each
-            for each in self._connections
-            if each.is_idle and not each.unacknowledged_bytes()
+        self._listener.start(host, port)
+
+    def _accept(self) -> ServerConnection:
+        """Return the protocol of a new connection; close others if there are many."""
+        refused = not self._table.make_room()
+        if refused and not self._refused.make_room():
+            self._refused.close_oldest()
+        connection = ServerConnection(
+            service=self._service, closed=self._close, refused=refused
         )
-        # The new connection is idle as well and the last one.
-        oldest = next(idle, connection)
-        metrics.MESH_CLIENTS_DROPPED.labels("connections").inc()
-        # It counts no longer, also while its end is still to be reported.
-        del self._connections[oldest]
-        oldest.abort()
+        (self._refused if refused else self._table).add(connection)
+        return connection
 
     def _close(self, connection: ServerConnection) -> None:
-        self._connections.pop(connection, None)
-
-    def _use(self, connection: ServerConnection) -> None:
-        """Put a connection with a new request last in the order."""
-        if self._max_connections is not None and connection in self._connections:
-            self._connections[connection] = self._connections.pop(connection)
+        self._table.discard(connection)
+        self._refused.discard(connection)
+        self._service.returns.record_free(asyncio.get_running_loop().time())
 
     def drain(self) -> None:
         """Respond with ``Connection: close`` from now on; keep listening."""
@@ -142,8 +138,7 @@
 
     def close_listener(self) -> None:
         """Accept no new connections; open ones continue."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
 
     async def stop(self) -> None:
         """Close the listener and the connections without requests in flight."""
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -13,6 +13,7 @@
 
 from ... import metrics
 from ...protocol.http1 import Header, HttpRequest, HttpResponse
+from ..connection_table import Activity, ConnectionState
 from .exchange_queue import MAX_PIPELINED as MAX_PIPELINED
 from .exchange_queue import Exchange, ExchangeQueue, UnansweredRequest
 from .partial_request import PartialRequest, RejectedError
@@ -34,20 +35,20 @@
 class ServerConnection(asyncio.Protocol):
     """One connection of a client.
 
-    ``opened`` and ``closed`` are called with the connection when it is, and ``used``
-    with each request.
+    ``closed`` is called with the connection when it is closed. All requests of one that
+    is ``refused`` get 503 and are not handled.
     """
 
     def __init__(
         self,
         *,
         service: HttpService,
-        opened: Callable[["ServerConnection"], None],
         closed: Callable[["ServerConnection"], None],
-        used: Callable[["ServerConnection"], None] = lambda connection: None,
+        refused: bool = False,
     ) -> None:
         self._service = service
-        self._opened, self._closed, self._used = opened, closed, used
+        self._closed = closed
+        self._refused = refused
         self._loop = asyncio.get_running_loop()
         self._exchanges = ExchangeQueue(service=service, done=self._finish)
         self._partial: PartialRequest | None = None
@@ -61,16 +62,35 @@
         self._blank_bytes = 0
         # The client waits for 100 (Continue) before it sends the body.
         self._expects_continue = False
+        # Loop times of the last bytes received, and of the end of the last exchange.
+        self._received_at = self._idle_since = self._loop.time()
 
     @property
     def in_flight(self) -> int:
         """Number of complete requests whose response was not written yet."""
         return len(self._exchanges) + self._is_sending
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return not self.in_flight and self._partial is None
+    def state(self) -> ConnectionState:
+        """Return what the connection is doing."""
+        if self.in_flight:
+            blocked_since = None if self._sender is None else self._sender.blocked_since
+            if blocked_since is not None:
+                return ConnectionState(activity=Activity.BLOCKED, since=blocked_since)
+            return ConnectionState(activity=Activity.SERVED, since=self._loop.time())
+        partial = self._partial
+        if partial is None:
+            return ConnectionState(activity=Activity.IDLE, since=self._idle_since)
+        if partial.header_complete:
+            return ConnectionState(
+                activity=Activity.RECEIVING_BODY, since=self._received_at
+            )
+        return ConnectionState(
+            activity=Activity.RECEIVING_HEAD, since=partial.arrived_at
+        )
+
+    def has_unreceived_response(self) -> bool:
+        """Return whether the client has not acknowledged all bytes of its responses."""
+        return self.unacknowledged_bytes() > 0
 
     def unacknowledged_bytes(self) -> int:
         """Return the number of response bytes that the client has not acknowledged."""
@@ -80,6 +100,10 @@
     def _is_sending(self) -> bool:
         return self._sender is not None and self._sender.is_sending
 
+    @property
+    def _is_idle(self) -> bool:
+        return not self.in_flight and self._partial is None
+
     def unanswered(self) -> Iterator[UnansweredRequest]:
         """Yield the complete requests whose response was not written yet."""
         yield from self._exchanges.unanswered()
@@ -94,6 +118,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if self._closing:
+            # It was closed for another one before it was set up.
+            transport.abort()
+            return
         self._sender = ResponseSender(
             transport=transport,
             service=self._service,
@@ -103,7 +131,6 @@
             is_waiting=lambda: self._exchanges.is_waiting,
             shed=self._exchanges.shed_waiting,
         )
-        self._opened(self)
         self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -129,6 +156,7 @@
         return False
 
     def data_received(self, data: bytes) -> None:
+        self._received_at = self._loop.time()
         # The parser doesn't tell where in a piece a request begins. All bytes of the
         # next piece belong to that request, or its header section is complete; pieces
         # of this size are enough to limit it.
@@ -153,7 +181,7 @@
             cause = error.__context__
             if not isinstance(cause, RejectedError):
                 raise
-            self._reject(cause.status, cause.headers)
+            self._reject(cause.status)
         except httptools.HttpParserError:
             # Bytes after a request with "Connection: close" are ignored.
             if not self._exchanges.has_last:
@@ -173,7 +201,7 @@
         try:
             partial.hold_header(received)
         except RejectedError as error:
-            self._reject(error.status, error.headers)
+            self._reject(error.status)
 
     def _count_blank_bytes(self, size: int) -> None:
         """Limit the bytes that arrive without the start of a request."""
@@ -185,10 +213,12 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
+        if self._closing:
+            # Ends the parsing of the bytes received so far.
+            raise RejectedError(400)
         service = self._service
         self._blank_bytes = 0
         self._expects_continue = False
-        self._used(self)
         self._partial = PartialRequest(
             arrived_at=self._loop.time(), limits=service.limits(), memory=service.memory
         )
@@ -207,6 +237,9 @@
         assert partial is not None and self._transport is not None
         partial.complete_header(http_version=self._parser.get_http_version())
         partial.hold_header(0)
+        if self._refused:
+            metrics.MESH_CLIENTS_REFUSED.inc()
+            raise RejectedError(503)
         self._expects_continue = any(
             value.lower() == b"100-continue" for value in partial.values(b"expect")
         )
@@ -291,6 +324,7 @@
                 return
         if self._closing or self._is_sending:
             return
+        self._idle_since = self._loop.time()
         self._send_continue()
         self._start_runnable()
         if len(self._exchanges) < MAX_PIPELINED:
@@ -334,10 +368,14 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _reject(self, status: int, headers: tuple[Header, ...] = ()) -> None:
+    def _reject(self, status: int) -> None:
         """Respond with ``status`` after the pending responses, then close."""
         if self._closing:
             return
+        headers: tuple[Header, ...] = ()
+        if status == 503:
+            seconds = self._service.returns.retry_after(self._loop.time())
+            headers = ((b"retry-after", b"%.2f" % seconds),)
         self._drop_partial()
         self._exchanges.add(
             Exchange(
@@ -367,7 +405,7 @@
         That time starts when the client has received the last response, which is
         checked in short intervals. Nothing reports the moment.
         """
-        if self.is_idle and not self._closing:
+        if self._is_idle and not self._closing:
             seconds = self._service.limits().idle_seconds * RECEIVED_CHECK_FRACTION
             self._start_timer(seconds, self._check_received)
 
--- a/src/cassiasail/_internal/transport/http1/service.py
+++ b/src/cassiasail/_internal/transport/http1/service.py
@@ -5,6 +5,7 @@
 
 from ...protocol.http1 import HttpRequest, HttpResponse
 from ...state.mesh_config import ClientLimits
+from ...state.return_schedule import ReturnSchedule
 from .hangup_watch import HangupWatch
 from .link_pacer import LinkPacer
 from .memory import MAX_UNSENT_BYTES, BodyMemory, UnsentResponses
@@ -34,6 +35,7 @@
     connections that are not read for a while. ``unsent`` counts responses that clients
     have not taken, ``pipelined`` the requests that run behind others, and ``pacer``
     paces large responses if they leave over a link.
+    ``returns`` tells refused clients when to return.
     """
 
     handler: Handler
@@ -46,6 +48,7 @@
     pacer: LinkPacer | None = None
     max_pipelined: int = MAX_PIPELINED_TOGETHER
     outcome_unknown: OutcomeUnknown = bad_gateway
+    returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     draining: bool = False
     hangups: HangupWatch = field(default_factory=HangupWatch)
     pipelined: PipelinedRequests = field(init=False)
--- a/src/cassiasail/platform/settings.py
+++ b/src/cassiasail/platform/settings.py
@@ -14,6 +14,9 @@
 # Limits of the smallest VM in use, for settings that name none.
 DEFAULT_MEMORY_MB = 200.0
 DEFAULT_MAX_DESCRIPTORS = 4096
+# Descriptors of a process that the platform reserves for files; the rest is for
+# sockets. A smaller process has half for each.
+FILE_DESCRIPTORS = 200
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,7 +32,7 @@
     configuration must be applied within ``config_apply_seconds``.
 
     ``link_mbps`` is the rate of the network link of this VM in Mbit/s, ``memory_mb``
-    its memory in MB and ``max_descriptors`` the descriptors that a process may open;
+    its memory in MB and ``max_descriptors`` the sockets that a process may open;
     ``first_start`` is true if the whole system has never run.
     """
 
@@ -135,7 +138,8 @@
     limits = fields.table(document, name)
     if "maxFds" not in limits:
         return DEFAULT_MAX_DESCRIPTORS
-    return fields.integer(limits, "maxFds", 1)
+    descriptors = fields.integer(limits, "maxFds", 1)
+    return max(descriptors - FILE_DESCRIPTORS, descriptors // 2)
 
 
 def _read_flag(document: Any, name: str) -> bool:
--- a/tests/functional/sidecar/test_misbehaving_clients.py
+++ b/tests/functional/sidecar/test_misbehaving_clients.py
@@ -11,18 +11,125 @@
 
 from aiohttp import web
 
-from devtools.platform_stand_in import PlatformStore, Sidecar
+from cassiasail._internal.protocol.exchanges import Address
+from cassiasail._internal.protocol.http1 import HttpResponse
+from devtools.platform_stand_in import HOST, PlatformStore, Sidecar
 from tests.lib.sidecar_mesh import plain_sidecars, run, sidecar_mesh
+from tests.lib.uncontrolled import (
+    PATIENCE_SECONDS,
+    QUIET_SECONDS,
+    DescriptorPeak,
+    close,
+    connect,
+    daemon,
+    descriptors,
+    limit_descriptors,
+    request,
+    send,
+    until_quiet,
+)
 
 # Limit in the settings of the daemons, a sixteenth of that of the smallest VM.
 MAX_FDS = 256
 PIPELINING_CLIENTS, PIPELINED, ANSWER_BYTES = 60, 16, 540_000
 CLIENTS_WITHOUT_A_HEAD = 400
-SCRAPING_CLIENTS, SCRAPES = 100, 400
-CHUNKING_CLIENTS, CHUNKS_AT_ONCE = 60, 20_000
 IDLE_CLIENTS = 300
 
 
+async def ordinary_status(sidecar: Sidecar, path: str = "/one/ordinary") -> int:
+    """Return the status of an ordinary request on a new connection, 0 without one."""
+    sidecar.pool.close()
+    result = await sidecar.get(path, timeout=5, deadline=4)
+    return result.status if isinstance(result, HttpResponse) else 0
+
+
+def log_of(directory: Path, sidecar: Sidecar) -> str:
+    return (directory / f"{sidecar.name}.log").read_text()
+
+
+def process_id(sidecar: Sidecar) -> int:
+    assert sidecar.process is not None
+    return sidecar.process.pid
+
+
+def test_clients_that_pipeline_and_never_read(tmp_path: Path) -> None:
+    """Guards against requests that take the descriptors for hosts and other clients."""
+
+    def sidecars(store: PlatformStore) -> list[Sidecar]:
+        created = list(plain_sidecars("one", "two")(store))
+        for each in created:
+            each.max_fds = MAX_FDS
+        return created
+
+    async def main() -> None:
+        async with sidecar_mesh(tmp_path, sidecars) as (_, (one, two)):
+            two.handle_request = answer_after(two, 0.1, ANSWER_BYTES)
+            peaks = [DescriptorPeak(process_id(each)) for each in (one, two)]
+            clients = [
+                await connect(one, receive_bytes=4096)
+                for _ in range(PIPELINING_CLIENTS)
+            ]
+            requests = b"".join(
+                request(each).replace(b"/one/", b"/two/") for each in range(PIPELINED)
+            )
+            await asyncio.gather(*(send(client, requests) for client in clients))
+            await asyncio.sleep(QUIET_SECONDS)
+            assert await ordinary_status(one) == 200
+            await until_quiet(one)
+            assert [peak.stop() <= MAX_FDS for peak in peaks] == [True, True]
+            close(clients)
+            assert await ordinary_status(one) == 200
+            assert await ordinary_status(one, "/two/ordinary") == 200
+            for each in (one, two):
+                assert "Traceback" not in log_of(tmp_path, each)
+
+    run(main)
+
+
+def test_heads_of_one_byte_that_never_go_on(tmp_path: Path) -> None:
+    """Guards against unfinished heads that keep all new connections out."""
+
+    async def main() -> None:
+        async with daemon(tmp_path, max_fds=MAX_FDS) as sidecar:
+            limit_descriptors(process_id(sidecar), MAX_FDS)
+            clients = []
+            for _ in range(CLIENTS_WITHOUT_A_HEAD):
+                clients.append(await connect(sidecar))
+                await send(clients[-1], b"G")
+            for _ in range(5):
+                assert await ordinary_status(sidecar) == 200
+            close(clients)
+            assert "Traceback" not in log_of(tmp_path, sidecar)
+
+    run(main)
+
+
+def test_idle_connections_to_each_listener(tmp_path: Path) -> None:
+    """Guards against a listener without a limit that takes the descriptors of all."""
+
+    async def main() -> None:
+        async with daemon(tmp_path, max_fds=MAX_FDS) as sidecar:
+            addresses = [
+                sidecar.address_by_use[use]
+                for use in ("inbound", "outbound", "readiness", "admin")
+            ]
+            for address in (*addresses, Address(HOST, sidecar.metrics_port)):
+                clients = [
+                    await connect(sidecar, address=address) for _ in range(IDLE_CLIENTS)
+                ]
+                await until_quiet(sidecar)
+                assert descriptors(process_id(sidecar)) <= MAX_FDS
+                assert await ordinary_status(sidecar) == 200
+                sidecar.pool.close()
+                await sidecar.wait_until_ready(PATIENCE_SECONDS)
+                heartbeat = await sidecar.send_heartbeat()
+                assert isinstance(heartbeat, HttpResponse) and heartbeat.status == 200
+                assert "cassiasail_mesh_hosts" in await sidecar.metrics()
+                close(clients)
+
+    run(main)
+
+
 def test_answers_that_wait_for_a_slow_order(tmp_path: Path) -> None:
     """Guards against the loss of an order whose client takes all answers at once.
 
--- a/tests/unit/mesh/test_endless_responses.py
+++ b/tests/unit/mesh/test_endless_responses.py
@@ -153,8 +153,7 @@
             handler=handle, limits=lambda: ClientLimits(), memory=memory
         )
         await server.start("127.0.0.1", 0)
-        assert server._server is not None
-        port = server._server.sockets[0].getsockname()[1]
+        port = server.port
         slow_reader, slow_writer = await asyncio.open_connection("127.0.0.1", port)
         slow_writer.write(post(90_000) + b"x" * 1000)
         await slow_writer.drain()
--- a/tests/unit/mesh/test_following.py
+++ b/tests/unit/mesh/test_following.py
@@ -143,8 +143,7 @@
 
     async def listen(self) -> Address:
         await self.server.start("127.0.0.1", 0)
-        assert self.server._server is not None
-        return Address("127.0.0.1", self.server._server.sockets[0].getsockname()[1])
+        return Address("127.0.0.1", self.server.port)
 
     async def wait_for_value(self, value: bytes, seconds: float = 2.0) -> None:
         async with asyncio.timeout(seconds):
--- a/tests/unit/mesh/test_http1_idle.py
+++ b/tests/unit/mesh/test_http1_idle.py
@@ -64,7 +64,6 @@
                 time_limit=lambda request: None,
                 memory=BodyMemory(limit=1000),
             ),
-            opened=lambda connection: None,
             closed=lambda connection: None,
         )
         transport = FakeTransport()
--- a/tests/unit/mesh/test_http1_pieces.py
+++ b/tests/unit/mesh/test_http1_pieces.py
@@ -56,7 +56,6 @@
                 time_limit=lambda request: None,
                 memory=BodyMemory(limit=1 << 20),
             ),
-            opened=lambda connection: None,
             closed=lambda connection: None,
         )
         transport = RecordingTransport()
--- a/tests/unit/mesh/test_http1_server.py
+++ b/tests/unit/mesh/test_http1_server.py
@@ -49,8 +49,7 @@
 
 
 def listening_port(server: HttpServer) -> int:
-    assert server._server is not None
-    return int(server._server.sockets[0].getsockname()[1])
+    return server.port
 
 
 def statuses(data: bytes) -> list[int]:
--- a/tests/unit/test_client_limits.py
+++ b/tests/unit/test_client_limits.py
@@ -3,11 +3,83 @@
 import asyncio
 from collections.abc import Callable
 
+import pytest
+
+from cassiasail._internal.state.return_schedule import (
+    MAX_RETURN_SECONDS,
+    MIN_RATE,
+    ReturnSchedule,
+)
+from cassiasail._internal.transport.connection_table import (
+    Activity,
+    ConnectionState,
+    ConnectionTable,
+)
 from cassiasail._internal.transport.http1.memory import UnsentResponses
 from cassiasail._internal.transport.http1.pipelining import PipelinedRequests
 from devtools.virtual_loop import VirtualLoop
 
 
+class FakeConnection:
+    """A connection in a given state."""
+
+    def __init__(self, activity: Activity, since: float) -> None:
+        self._state = ConnectionState(activity=activity, since=since)
+        self.aborted = False
+
+    def state(self) -> ConnectionState:
+        return self._state
+
+    def has_unreceived_response(self) -> bool:
+        return False
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+def test_connections_in_use_are_not_closed_for_new_ones() -> None:
+    """Guards against ordinary clients that lose to those that only hold connections."""
+
+    async def main() -> None:
+        now = asyncio.get_running_loop().time()
+        served = FakeConnection(Activity.SERVED, now - 100)
+        reading = FakeConnection(Activity.BLOCKED, now)
+        in_order = [
+            FakeConnection(Activity.RECEIVING_HEAD, now - 9),
+            FakeConnection(Activity.RECEIVING_BODY, now - 8),
+            FakeConnection(Activity.IDLE, now - 20),
+            FakeConnection(Activity.IDLE, now - 1),
+            FakeConnection(Activity.BLOCKED, now - 30),
+            FakeConnection(Activity.RECEIVING_HEAD, now),
+        ]
+        table = ConnectionTable[FakeConnection](limit=len(in_order) + 2)
+        for each in (reading, *reversed(in_order), served):
+            table.add(each)
+        for position in range(len(in_order)):
+            assert table.make_room()
+            assert [each.aborted for each in in_order].count(True) == position + 1
+            assert in_order[position].aborted
+            table.add(FakeConnection(Activity.SERVED, now))
+        assert not table.make_room()
+        assert not served.aborted and not reading.aborted
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("rate", [0.0, 50.0])
+def test_refused_clients_return_one_after_the_other(rate: float) -> None:
+    """Guards against refused clients that all come back at the same time."""
+    schedule, now = ReturnSchedule(), 0.0
+    while rate and now < 10:
+        now += 1 / rate
+        schedule.record_free(now)
+    now = max(now, 10.0)
+    times = [schedule.retry_after(now) for _ in range(8)]
+    gaps = [after - before for before, after in zip(times, times[1:], strict=False)]
+    assert gaps == pytest.approx([1 / max(rate, MIN_RATE)] * 7, rel=0.2)
+    assert max(schedule.retry_after(now) for _ in range(500)) <= MAX_RETURN_SECONDS
+
+
 def run_virtually(main: Callable[[], object]) -> None:
     loop = VirtualLoop()
     try:
