Go on with a stop when a client has just reset its connection

Cause: closing a connection whose reset was not read yet raised OSError (ENOTCONN) out of HttpServer.stop, so that the connections behind it and the listeners after it were not closed.

Change: such a connection is aborted.

--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -485,7 +485,11 @@
         if self._sender is not None:
             self._sender.stop()
         self._cancel_exchanges()
-        if self._transport.can_write_eof():
+        try:
             self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection, which was not noticed yet.
+            self._transport.abort()
+            return
         self._resume_reading()
         self._start_timer(LINGERING_CLOSE_SECONDS, self._end_lingering)
