Run no request of a client that left before it was accepted

Change: the first request of a connection starts one iteration of the event loop later, and the end of the connection cancels its requests at once.

Measured: the test got [/left, /stayed] before and [/stayed] since.

--- a/src/cassiasail/_internal/transport/http1/exchange_queue.py
+++ b/src/cassiasail/_internal/transport/http1/exchange_queue.py
@@ -68,6 +68,7 @@
         self._done = done
         self._loop = asyncio.get_running_loop()
         self._exchanges: deque[Exchange] = deque()
+        self._has_started = False
 
     def __len__(self) -> int:
         return len(self._exchanges)
@@ -151,6 +152,11 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         """Run the handler; a failure of it becomes a response with status 500."""
+        if not self._has_started:
+            self._has_started = True
+            # A client may have left while its connection waited to be accepted. Its
+            # close is seen in the next iteration of the loop and cancels this task.
+            await asyncio.sleep(0)
         try:
             response = await self._service.handler(exchange.request)
         except Exception:
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -153,6 +153,7 @@
 
     def eof_received(self) -> bool:
         # A client that closes its connection no longer waits for responses.
+        self._cancel_exchanges()
         return False
 
     def data_received(self, data: bytes) -> None:
--- a/tests/unit/mesh/test_http1_hangup.py
+++ b/tests/unit/mesh/test_http1_hangup.py
@@ -95,3 +95,29 @@
         await held.server.stop()
 
     asyncio.run(main())
+
+
+def test_request_of_a_client_that_left_before_it_was_accepted_does_not_run() -> None:
+    """Guards against work for clients that gave up while the daemon was busy."""
+
+    async def main() -> list[bytes]:
+        handled: list[bytes] = []
+
+        async def handle(request: HttpRequest) -> HttpResponse:
+            handled.append(request.target)
+            return HttpResponse(status=200)
+
+        server = HttpServer(handler=handle, limits=lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        # The loop accepts nothing meanwhile.
+        for path in (b"/left", b"/stayed"):
+            client = socket.create_connection(("127.0.0.1", server.port))
+            client.sendall(b"GET " + path + b" HTTP/1.1\r\nHost: h\r\n\r\n")
+            if path == b"/left":
+                client.close()
+        await asyncio.sleep(0.2)
+        client.close()
+        await server.stop()
+        return handled
+
+    assert asyncio.run(main()) == [b"/stayed"]
