Let connections whose parsing is costly read in turn

Seen by callers: with 100 clients that send bodies in chunks of one byte, 4 of 7 ordinary requests got no answer.

Cause: each read of up to 256 kB was parsed at once, one call for each chunk, for every connection in each iteration of the event loop.

Change: the time for parsing is measured by connection. One that uses more than 2% of it reads smaller pieces, of about a millisecond, and in turn: one piece in each iteration of the loop, whatever the number of such connections. Nothing is held for it meanwhile.

--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -57,6 +57,7 @@
 from ..transport.http1.pool import ConnectionPool
 from ..transport.http1.server import HttpServer
 from ..transport.http1.service import Handler
+from ..transport.reading_turns import ReadingTurns
 from .own_target import OwnTarget
 from .store_view import HOSTS_TABLE, StoreView
 
@@ -272,6 +273,7 @@
         memory = BodyMemory(limit=self._memory_limit(MAX_REQUEST_BODIES_BYTES))
         unsent_limit = self._memory_limit(MAX_UNSENT_BYTES)
         descriptors = self._descriptors
+        turns = ReadingTurns()
         self._clients_server = HttpServer(
             handler=self._serve_client,
             limits=self._client_limits,
@@ -282,6 +284,7 @@
             max_refused=descriptors.refused,
             max_pipelined=int(PIPELINED_SHARE * descriptors.hosts),
             outcome_unknown=self._unfinished_response,
+            turns=turns,
         )
         self._peers_server = HttpServer(
             handler=self._serve_peer,
@@ -291,6 +294,7 @@
             pacer=self._pacer,
             max_connections=descriptors.peers,
             max_refused=descriptors.refused,
+            turns=turns,
         )
 
         def service_server(handler: Handler) -> HttpServer:
@@ -301,6 +305,7 @@
                 max_refused=descriptors.refused,
                 max_pipelined=0,
                 held_up_seconds=SERVICE_HELD_UP_SECONDS,
+                turns=turns,
             )
 
         self._heartbeats_server = service_server(self._own_target.serve_heartbeat)
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -7,6 +7,7 @@
 from ...state.mesh_config import ClientLimits
 from ..connection_table import HELD_UP_SECONDS, ConnectionTable
 from ..listener import Listener
+from ..reading_turns import PacedReader, ReadingTurns
 from .exchange_queue import UnansweredRequest
 from .link_pacer import LinkPacer
 from .memory import (
@@ -42,7 +43,8 @@
 
     ``max_pipelined`` limits the requests that run before earlier ones of their
     connections are answered. ``outcome_unknown`` returns the response to a request
-    whose own response was dropped.
+    whose own response was dropped. Servers that share ``turns`` share the time for
+    parsing.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         max_pipelined: int = MAX_PIPELINED_TOGETHER,
         outcome_unknown: OutcomeUnknown = bad_gateway,
         held_up_seconds: float = HELD_UP_SECONDS,
+        turns: ReadingTurns | None = None,
     ) -> None:
         self.memory = memory or BodyMemory(limit=MAX_REQUEST_BODIES_BYTES)
         self._service = HttpService(
@@ -71,6 +74,7 @@
             max_pipelined=max_pipelined,
             outcome_unknown=outcome_unknown,
         )
+        self._turns = turns or ReadingTurns()
         self._table = ConnectionTable[ServerConnection](
             limit=max_connections, held_up_seconds=held_up_seconds
         )
@@ -108,7 +112,7 @@
         """Listen on ``host`` and ``port``."""
         self._listener.start(host, port)
 
-    def _accept(self) -> ServerConnection:
+    def _accept(self) -> PacedReader:
         """Return the protocol of a new connection; close others if there are many."""
         refused = not self._table.make_room()
         if refused and not self._refused.make_room():
@@ -117,7 +121,7 @@
             service=self._service, closed=self._close, refused=refused
         )
         (self._refused if refused else self._table).add(connection)
-        return connection
+        return PacedReader(protocol=connection, turns=self._turns)
 
     def _close(self, connection: ServerConnection) -> None:
         self._table.discard(connection)
--- a/tests/functional/sidecar/test_misbehaving_clients.py
+++ b/tests/functional/sidecar/test_misbehaving_clients.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -33,6 +34,7 @@
 MAX_FDS = 256
 PIPELINING_CLIENTS, PIPELINED, ANSWER_BYTES = 60, 16, 540_000
 CLIENTS_WITHOUT_A_HEAD = 400
+CHUNKING_CLIENTS, CHUNKS_AT_ONCE = 60, 20_000
 IDLE_CLIENTS = 300
 
 
@@ -104,6 +106,34 @@
     run(main)
 
 
+async def send_chunks_of_one_byte(client: socket.socket) -> None:
+    """Send bodies in chunks of one byte until the connection is closed."""
+    head = request(1, "Transfer-Encoding: chunked")
+    head = head.replace(b"GET /one/large", b"POST /one/chunked")
+    while await send(client, head + b"1\r\nx\r\n" * CHUNKS_AT_ONCE + b"0\r\n\r\n"):
+        pass
+
+
+def test_bodies_in_chunks_of_one_byte(tmp_path: Path) -> None:
+    """Guards against bodies whose parsing keeps the daemon from other clients."""
+
+    async def main() -> None:
+        async with daemon(tmp_path) as sidecar:
+            clients = [await connect(sidecar) for _ in range(CHUNKING_CLIENTS)]
+            senders = [
+                asyncio.create_task(send_chunks_of_one_byte(each)) for each in clients
+            ]
+            await asyncio.sleep(QUIET_SECONDS)
+            for _ in range(5):
+                assert await ordinary_status(sidecar) == 200
+            for sender in senders:
+                sender.cancel()
+            await asyncio.wait(senders)
+            close(clients)
+
+    run(main)
+
+
 def test_idle_connections_to_each_listener(tmp_path: Path) -> None:
     """Guards against a listener without a limit that takes the descriptors of all."""
 
--- a/tests/unit/test_client_limits.py
+++ b/tests/unit/test_client_limits.py
@@ -17,6 +17,7 @@
 )
 from cassiasail._internal.transport.http1.memory import UnsentResponses
 from cassiasail._internal.transport.http1.pipelining import PipelinedRequests
+from cassiasail._internal.transport.reading_turns import PacedReader, ReadingTurns
 from devtools.virtual_loop import VirtualLoop
 
 
@@ -66,6 +67,71 @@
     asyncio.run(main())
 
 
+class SlowProtocol(asyncio.Protocol):
+    """Counts what it gets; each byte takes a time of the given clock."""
+
+    def __init__(self, clock: list[float], seconds_per_byte: float) -> None:
+        self._clock = clock
+        self._seconds_per_byte = seconds_per_byte
+        self.received = 0
+
+    def data_received(self, data: bytes) -> None:
+        self.received += len(data)
+        self._clock[0] += self._seconds_per_byte * len(data)
+
+
+class FakeTransport(asyncio.Transport):
+    """Reads as fast as its protocol allows."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reading = True
+
+    def is_reading(self) -> bool:
+        return self.reading
+
+    def is_closing(self) -> bool:
+        return False
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+
+def test_costly_connections_read_in_turn_and_others_at_once() -> None:
+    """Guards against one client that keeps the loop from all others by its parsing."""
+
+    async def main() -> None:
+        clock = [0.0]
+        turns = ReadingTurns()
+
+        def reader(seconds_per_byte: float) -> tuple[PacedReader, FakeTransport]:
+            protocol = SlowProtocol(clock, seconds_per_byte)
+            made = PacedReader(protocol=protocol, turns=turns, clock=lambda: clock[0])
+            transport = FakeTransport()
+            made.connection_made(transport)
+            return made, transport
+
+        costly = [reader(2e-6) for _ in range(3)]
+        cheap, cheap_transport = reader(1e-9)
+        for _ in range(50):
+            cheap.buffer_updated(len(cheap.get_buffer(-1)))
+            assert cheap_transport.reading
+            for each, transport in costly:
+                if transport.reading:
+                    each.buffer_updated(len(each.get_buffer(-1)))
+            await asyncio.sleep(0)
+            # In each iteration of the loop it is the turn of one of them.
+            assert sum(transport.reading for _, transport in costly) <= 1
+        # A piece of a costly connection takes about a millisecond.
+        assert all(len(each.get_buffer(-1)) <= 512 for each, _ in costly)
+        assert len(cheap.get_buffer(-1)) == len(turns.buffer)
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("rate", [0.0, 50.0])
 def test_refused_clients_return_one_after_the_other(rate: float) -> None:
     """Guards against refused clients that all come back at the same time."""
