Make pages for operators no more often than they are worth

Seen by callers: 100 clients that pipeline 400 GET /metrics and read nothing kept the daemon from any request for 10 s.

Cause: the text was made anew for each request, 16 at a time for each connection.

Change: the text is made anew only as long as that takes at most 5% of the time. Requests of one connection to the listeners for metrics, readiness and heartbeats run one after the other, and a connection with more than 16 unanswered ones is dropped.

--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -57,6 +57,7 @@
 from ..transport.http1.pool import ConnectionPool
 from ..transport.http1.server import HttpServer
 from ..transport.http1.service import Handler
+from ..transport.rationed_page import RationedPage
 from ..transport.reading_turns import ReadingTurns
 from .own_target import OwnTarget
 from .store_view import HOSTS_TABLE, StoreView
@@ -110,6 +111,11 @@
 BYTES_PER_MEGABIT = 125_000
 # Requests behind others may use this share of the connections to hosts.
 PIPELINED_SHARE = 0.5
+# Requests of the platform or of an operator that one connection may have unanswered.
+MAX_SERVICE_REQUESTS = 16
+# The text of the metrics is made again only if that takes at most this share of the
+# time; a scrape that comes earlier gets the last text.
+SCRAPE_SHARE = 0.05
 # Delay before background work that ended or failed is restarted.
 RESTART_DELAY_SECONDS = 1.0
 
@@ -304,6 +310,7 @@
                 max_connections=descriptors.service,
                 max_refused=descriptors.refused,
                 max_pipelined=0,
+                max_unanswered=MAX_SERVICE_REQUESTS,
                 held_up_seconds=SERVICE_HELD_UP_SECONDS,
                 turns=turns,
             )
@@ -311,6 +318,9 @@
         self._heartbeats_server = service_server(self._own_target.serve_heartbeat)
         self._metrics_server = service_server(self._serve_metrics)
         self._readiness_server = service_server(self._serve_readiness)
+        self._metrics_page = RationedPage(
+            render=self._render_metrics, share=SCRAPE_SHARE
+        )
 
     @property
     def ready(self) -> bool:
@@ -538,11 +548,14 @@
     async def _serve_metrics(self, request: HttpRequest) -> HttpResponse:
         if request.target.partition(b"?")[0] != METRICS_PATH:
             return HttpResponse(status=404)
-        self._set_gauges()
-        body, content_type = metrics.REGISTRY.text()
+        body, content_type = self._metrics_page.get()
         headers = ((b"content-type", content_type.encode()),)
         return HttpResponse(status=200, headers=headers, body=body)
 
+    def _render_metrics(self) -> tuple[bytes, str]:
+        self._set_gauges()
+        return metrics.REGISTRY.text()
+
     def _set_gauges(self) -> None:
         config = self._store_view.config
         if config is not None:
--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -42,9 +42,9 @@
     one get 503; ``max_refused`` of these are kept at a time.
 
     ``max_pipelined`` limits the requests that run before earlier ones of their
-    connections are answered. ``outcome_unknown`` returns the response to a request
-    whose own response was dropped. Servers that share ``turns`` share the time for
-    parsing.
+    connections are answered, ``max_unanswered`` those of one connection, which is
+    dropped beyond it. ``outcome_unknown`` returns the response to a request whose own
+    response was dropped. Servers that share ``turns`` share the time for parsing.
     """
 
     def __init__(
@@ -59,6 +59,7 @@
         max_connections: int | None = None,
         max_refused: int | None = None,
         max_pipelined: int = MAX_PIPELINED_TOGETHER,
+        max_unanswered: int | None = None,
         outcome_unknown: OutcomeUnknown = bad_gateway,
         held_up_seconds: float = HELD_UP_SECONDS,
         turns: ReadingTurns | None = None,
@@ -72,6 +73,7 @@
             unsent=unsent or UnsentResponses(limit=MAX_UNSENT_BYTES),
             pacer=pacer,
             max_pipelined=max_pipelined,
+            max_unanswered=max_unanswered,
             outcome_unknown=outcome_unknown,
         )
         self._turns = turns or ReadingTurns()
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -269,6 +269,11 @@
             Exchange(request=request, keep_alive=keep_alive, partial=partial)
         )
         self._stop_timer()
+        most = self._service.max_unanswered
+        if most is not None and len(self._exchanges) > most:
+            metrics.MESH_CLIENTS_DROPPED.labels("pipelined").inc()
+            self.abort()
+            return
         self._start_runnable()
         if len(self._exchanges) >= MAX_PIPELINED and self._transport is not None:
             self._pause_reading(self._transport)
--- a/src/cassiasail/_internal/transport/http1/service.py
+++ b/src/cassiasail/_internal/transport/http1/service.py
@@ -34,7 +34,8 @@
     While it is ``draining``, responses close their connections. ``hangups`` watches the
     connections that are not read for a while. ``unsent`` counts responses that clients
     have not taken, ``pipelined`` the requests that run behind others, and ``pacer``
-    paces large responses if they leave over a link.
+    paces large responses if they leave over a link. A connection with more than
+    ``max_unanswered`` requests without a response is dropped, None for any number.
     ``returns`` tells refused clients when to return.
     """
 
@@ -47,6 +48,7 @@
     )
     pacer: LinkPacer | None = None
     max_pipelined: int = MAX_PIPELINED_TOGETHER
+    max_unanswered: int | None = None
     outcome_unknown: OutcomeUnknown = bad_gateway
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     draining: bool = False
--- a/tests/functional/sidecar/test_misbehaving_clients.py
+++ b/tests/functional/sidecar/test_misbehaving_clients.py
@@ -34,6 +34,7 @@
 MAX_FDS = 256
 PIPELINING_CLIENTS, PIPELINED, ANSWER_BYTES = 60, 16, 540_000
 CLIENTS_WITHOUT_A_HEAD = 400
+SCRAPING_CLIENTS, SCRAPES = 100, 400
 CHUNKING_CLIENTS, CHUNKS_AT_ONCE = 60, 20_000
 IDLE_CLIENTS = 300
 
@@ -106,6 +107,25 @@
     run(main)
 
 
+def test_scrapes_that_are_never_read(tmp_path: Path) -> None:
+    """Guards against pages for operators that keep the daemon from its requests."""
+
+    async def main() -> None:
+        async with daemon(tmp_path) as sidecar:
+            address = Address(HOST, sidecar.metrics_port)
+            scrape = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
+            clients = [
+                await connect(sidecar, receive_bytes=4096, address=address)
+                for _ in range(SCRAPING_CLIENTS)
+            ]
+            await asyncio.gather(*(send(each, scrape * SCRAPES) for each in clients))
+            assert await ordinary_status(sidecar) == 200
+            assert "cassiasail_mesh_hosts" in await sidecar.metrics()
+            close(clients)
+
+    run(main)
+
+
 async def send_chunks_of_one_byte(client: socket.socket) -> None:
     """Send bodies in chunks of one byte until the connection is closed."""
     head = request(1, "Transfer-Encoding: chunked")
--- a/tests/unit/test_client_limits.py
+++ b/tests/unit/test_client_limits.py
@@ -17,6 +17,7 @@
 )
 from cassiasail._internal.transport.http1.memory import UnsentResponses
 from cassiasail._internal.transport.http1.pipelining import PipelinedRequests
+from cassiasail._internal.transport.rationed_page import RationedPage
 from cassiasail._internal.transport.reading_turns import PacedReader, ReadingTurns
 from devtools.virtual_loop import VirtualLoop
 
@@ -146,6 +147,23 @@
     assert max(schedule.retry_after(now) for _ in range(500)) <= MAX_RETURN_SECONDS
 
 
+def test_page_is_made_no_more_often_than_its_share_allows() -> None:
+    """Guards against scrapes that keep the daemon busy, and against a page for ever."""
+    now, made = [0.0], [0]
+
+    def render() -> int:
+        now[0] += 0.01
+        made[0] += 1
+        return made[0]
+
+    page = RationedPage(render=render, share=0.05, clock=lambda: now[0])
+    for _ in range(1000):
+        page.get()
+    assert made[0] <= 25
+    now[0] += 10
+    assert page.get() == made[0] > 20
+
+
 def run_virtually(main: Callable[[], object]) -> None:
     loop = VirtualLoop()
     try:
