Let an old incomplete request give way if memory is short

Cause: bodies that are never finished held their memory until their deadline or the idle time, and each new request with a body got 503 meanwhile.

Change: the incomplete request with most bytes times seconds gets 503 if it is older than a second, and the new one is read.

--- a/src/cassiasail/_internal/transport/http1/memory.py
+++ b/src/cassiasail/_internal/transport/http1/memory.py
@@ -1,6 +1,7 @@
 """Memory for messages, shared by all connections of one kind in a daemon."""
 
 import asyncio
+import time
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 
@@ -13,6 +14,9 @@
 # responses being read, and responses to clients and to daemons. The rest is for the
 # process itself, which takes 50 MB, and for copies.
 MEMORY_SHARE = 0.12
+# An incomplete request that is older gives way to others if memory is short. Clients
+# in use send theirs within this time.
+INCOMPLETE_SECONDS = 1.0
 
 
 def limit_for(memory_bytes: float, limit: int) -> int:
@@ -20,33 +24,76 @@
     return min(limit, int(MEMORY_SHARE * memory_bytes))
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Incomplete:
+    """A request that is still being received, since a time of the clock."""
+
+    since: float
+    drop: Callable[[], None]
+
+
 class BodyMemory:
     """Bytes held for bodies, by holder, within ``limit`` bytes together.
 
     A single holder may exceed the limit, so that a body which the operator permits is
-    accepted while no other one is held.
+    accepted while no other one is held. ``clock`` returns seconds.
     """
 
-    def __init__(self, *, limit: int) -> None:
+    def __init__(
+        self, *, limit: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self._limit = limit
+        self._clock = clock
         self._held = 0
         self._held_by_holder: dict[Hashable, int] = {}
         self._drop_by_holder: dict[Hashable, Callable[[], None]] = {}
+        self._incomplete_by_holder: dict[Hashable, _Incomplete] = {}
 
     @property
     def held(self) -> int:
         """Number of bytes held by all holders together."""
         return self._held
 
+    def begin(self, holder: Hashable, drop: Callable[[], None]) -> None:
+        """Note that the request of ``holder`` is incomplete.
+
+        Until ``complete`` is called, ``drop`` may be, which has to release it.
+        """
+        self._incomplete_by_holder[holder] = _Incomplete(since=self._clock(), drop=drop)
+
+    def complete(self, holder: Hashable) -> None:
+        """Note that the request of ``holder`` has been received."""
+        self._incomplete_by_holder.pop(holder, None)
+
     def try_hold(self, holder: Hashable, size: int) -> bool:
-        """Hold ``size`` more bytes for ``holder``; false if they don't fit."""
-        own = self._held_by_holder.get(holder, 0)
-        if self._held > own and self._held + size > self._limit:
-            return False
-        self._held_by_holder[holder] = own + size
+        """Hold ``size`` more bytes for ``holder``; false if they don't fit.
+
+        Incomplete requests that use most memory for longest give way.
+        """
+        while not self._fits(holder, size):
+            incomplete = self._costliest_incomplete(holder)
+            if incomplete is None:
+                return False
+            incomplete.drop()
+        self._held_by_holder[holder] = self._held_by_holder.get(holder, 0) + size
         self._held += size
         return True
 
+    def _fits(self, holder: Hashable, size: int) -> bool:
+        own = self._held_by_holder.get(holder, 0)
+        return self._held <= own or self._held + size <= self._limit
+
+    def _costliest_incomplete(self, newest: Hashable) -> _Incomplete | None:
+        """Return the request with most bytes times seconds, None if all are young."""
+        now = self._clock()
+        costs = (
+            (self._held_by_holder.get(holder, 0) * (now - each.since), holder)
+            for holder, each in self._incomplete_by_holder.items()
+            if holder is not newest and now - each.since > INCOMPLETE_SECONDS
+        )
+        cost, holder = max(costs, key=lambda pair: pair[0], default=(0.0, None))
+        return self._incomplete_by_holder.pop(holder) if cost else None
+
     def hold(self, holder: Hashable, size: int, drop: Callable[[], None]) -> None:
         """Hold ``size`` more bytes for ``holder``, whose body is being received.
 
@@ -64,6 +111,7 @@
         """Release all bytes that ``holder`` holds."""
         self._held -= self._held_by_holder.pop(holder, 0)
         self._drop_by_holder.pop(holder, None)
+        self._incomplete_by_holder.pop(holder, None)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -223,6 +223,7 @@
         self._partial = PartialRequest(
             arrived_at=self._loop.time(), limits=service.limits(), memory=service.memory
         )
+        service.memory.begin(self._partial, lambda: self._reject(503))
         self._start_timer(service.limits().header_seconds, self._request_timed_out)
 
     def on_url(self, url: bytes) -> None:
@@ -264,6 +265,7 @@
         request = partial.request(self._parser.get_method(), body=bytes(partial.body))
         # ``partial`` stays as the holder of the memory until the response is written.
         partial.body = bytearray()
+        self._service.memory.complete(partial)
         keep_alive = self._parser.should_keep_alive()
         self._exchanges.add(
             Exchange(request=request, keep_alive=keep_alive, partial=partial)
--- a/tests/unit/test_client_limits.py
+++ b/tests/unit/test_client_limits.py
@@ -15,7 +15,7 @@
     ConnectionState,
     ConnectionTable,
 )
-from cassiasail._internal.transport.http1.memory import UnsentResponses
+from cassiasail._internal.transport.http1.memory import BodyMemory, UnsentResponses
 from cassiasail._internal.transport.http1.pipelining import PipelinedRequests
 from cassiasail._internal.transport.rationed_page import RationedPage
 from cassiasail._internal.transport.reading_turns import PacedReader, ReadingTurns
@@ -164,6 +164,28 @@
     assert page.get() == made[0] > 20
 
 
+def test_incomplete_request_gives_way_to_a_new_one() -> None:
+    """Guards against bodies that are never finished and keep all others out."""
+    now, dropped = [0.0], []
+    memory = BodyMemory(limit=100, clock=lambda: now[0])
+
+    def begin(name: str, size: int) -> bool:
+        def drop() -> None:
+            dropped.append(name)
+            memory.release(name)
+
+        memory.begin(name, drop)
+        return memory.try_hold(name, size)
+
+    assert begin("slow", 60) and begin("complete", 30)
+    memory.complete("complete")
+    assert not begin("early", 50) and dropped == []
+    now[0] = 5.0
+    assert begin("ordinary", 50)
+    assert dropped == ["slow"]
+    assert memory.held == 80
+
+
 def run_virtually(main: Callable[[], object]) -> None:
     loop = VirtualLoop()
     try:
