Limit connections, bodies and pages of cassiasaild

Seen: 300 unfinished bodies of 900 kB took it from 46 to 311 MB; 900 idle connections used 927 descriptors and none was closed; bodies in chunks of one byte held an ordinary call for 3 s.

Cause: the HTTP library limits neither connections nor the memory for bodies, reads up to 256 kB at once, and resumes its parser for each chunk that is taken from a body.

Change: the listeners for callers and for operators use the project's own listener, table of connections and turns for reading; that for other daemons counts its connections in a table. Reading is resumed only if it was paused, and what the parser then does counts as time of its connection. Bodies share 24 MB, an incomplete one that is older than a second gives way, and one of up to 1 MB must arrive within max_deadline. Idle connections and held-up heads end.

--- a/devtools/baselines.py
+++ b/devtools/baselines.py
@@ -20,12 +20,12 @@
 from cassiasail._internal.state import listcodec
 from cassiasail._internal.state.versions import AppliedVersion, VersionedLists
 from cassiasail._internal.transport.admin_http import AdminServer
+from cassiasail._internal.transport.peer_listener import start_listener
 from cassiasail._internal.transport.peers import (
     CallPool,
     ControlLinks,
     LinkId,
     LocalPeer,
-    start_listener,
 )
 from cassiasail._internal.transport.shaping import RegionLink
 from cassiasail._internal.transport.store_http import HttpStore
--- a/devtools/bench_memory.py
+++ b/devtools/bench_memory.py
@@ -39,11 +39,11 @@
 )
 from cassiasail._internal.state.routes import RouteTable, compile_routes
 from cassiasail._internal.state.token_cache import TokenCache
+from cassiasail._internal.transport.peer_listener import start_listener
 from cassiasail._internal.transport.peers import (
     CallPool,
     ControlLinks,
     LocalPeer,
-    start_listener,
 )
 from cassiasail._internal.transport.shaping import RegionLink
 
--- a/src/cassiasail/_internal/runtime.py
+++ b/src/cassiasail/_internal/runtime.py
@@ -34,17 +34,20 @@
 from .state.versions import VersionedLists
 from .status import VersionTimes, explain_page, status_page
 from .transport.admin_http import AdminServer
+from .transport.descriptors import shares_of
 from .transport.entry_http import EntryServer
 from .transport.forwarding import CallForwarder
 from .transport.hosted_calls import HostedCalls
+from .transport.http1.memory import MAX_REQUEST_BODIES_BYTES, BodyMemory
+from .transport.peer_listener import start_listener
 from .transport.peer_requests import PeerRequests
 from .transport.peers import (
     CallPool,
     ControlLinks,
     LinkId,
     LocalPeer,
-    start_listener,
 )
+from .transport.reading_turns import ReadingTurns
 from .transport.shaping import RegionLink
 from .transport.store_http import HttpStore
 from .transport.target_http import TargetClient
@@ -57,6 +60,10 @@
 # Delay until the next attempt to sweep claims if this daemon is not the head of its
 # data centre or the store failed.
 SWEEP_RETRY_SECONDS = 60.0
+# Descriptors used at most, if the process may open as many.
+MAX_DESCRIPTORS = 20_000
+# Operators' command lines and the tools that they use have several connections each.
+MIN_ADMIN_CONNECTIONS = 16
 # Time between the start of draining and the end of listening. Meanwhile responses close
 # their connections, so that callers connect to other daemons.
 DRAIN_NOTICE_SECONDS = 2.0
@@ -76,6 +83,7 @@
         self.members = MemberTable(
             own_record=_own_record(settings, self.me, incarnation)
         )
+        self.descriptors = shares_of(MAX_DESCRIPTORS)
         self.region_link = RegionLink(
             delay=settings.emulation_region_delay_ms / 1000,
             rate=settings.emulation_region_mbit * 1e6 / 8,
@@ -102,6 +110,7 @@
             local=self.local_peer,
             control=self.control_links,
             calls=self.call_pool,
+            max_connections=self.descriptors.peers,
         )
         await self.admin.start(settings.admin_address)
         await self.entry.start(settings.http_address)
@@ -260,6 +269,7 @@
 
     def _build_calls(self) -> None:
         settings = self.settings
+        descriptors, turns = self.descriptors, ReadingTurns()
         self.hosted = HostedCalls(
             clock=self.clock,
             client=self.target_client,
@@ -299,6 +309,11 @@
             handle_call=self.router.handle,
             apply_heartbeat=self.hosted.apply_heartbeat,
             max_body=settings.limits_max_body,
+            body_seconds=settings.limits_max_deadline,
+            memory=BodyMemory(limit=MAX_REQUEST_BODIES_BYTES),
+            max_connections=descriptors.clients,
+            max_refused=descriptors.refused,
+            turns=turns,
         )
         self.admin = AdminServer(
             status=self._status_page,
@@ -309,6 +324,9 @@
             is_ready=lambda: self.versions.version > 0 and not self.entry.closing,
             json_pages={"/versions": self.version_times.page},
             cut_link=self.region_link.set_cut if self.region_link.active else None,
+            max_connections=max(MIN_ADMIN_CONNECTIONS, descriptors.service),
+            max_refused=descriptors.refused,
+            turns=turns,
         )
 
     def _on_background_failure(self, error: BaseException) -> None:
--- a/src/cassiasail/_internal/state/refusals.py
+++ b/src/cassiasail/_internal/state/refusals.py
@@ -42,6 +42,8 @@
     SHORT_BODY = "short_body"
     LINK_BUDGET = "link_budget"
     TOO_DEEP = "too_deep"
+    NO_MEMORY = "no_memory"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
 
--- a/src/cassiasail/_internal/transport/entry_http.py
+++ b/src/cassiasail/_internal/transport/entry_http.py
@@ -19,13 +19,20 @@
 from ..protocol.problems import PROBLEM_CONTENT_TYPE, problem_body, status_of
 from ..protocol.responses import Body, CallResponse, close_body
 from ..state.refusals import Executed, Refusal, RefusalReason
-from .http_server import HttpServer
+from .http1.memory import BodyMemory
+from .http_server import HttpServer, receiving_body
+from .reading_turns import ReadingTurns
 
 HEARTBEAT_PATH_PREFIX = "/_cassiasail/targets/"
 # Bodies up to this size are read whole before the call is routed, so that the call can
 # be retried and has a body digest. Longer bodies are streamed, which works only once.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 MAX_HEADER_FIELD_BYTES = 16 * 1024
+# Memory that aiohttp uses for the part of a body that was not read yet.
+STREAMED_BODY_BYTES = 256 * 1024
+# Time after which a caller should send a call again for which there is no memory. The
+# bodies of others are received, or give way, within this time.
+RETRY_BODY_SECONDS = 1.0
 
 HandleCall = Callable[[Call], Awaitable[CallResponse | Refusal]]
 ApplyHeartbeat = Callable[[str, dict[str, Any]], Refusal | None]
@@ -40,7 +47,8 @@
 
     async def read(self) -> bytes | None | Refusal:
         try:
-            part = await self._request.content.readany()
+            with receiving_body(self._request):
+                part = await self._request.content.readany()
         except (OSError, web.HTTPException, ValueError):
             return Refusal(reason=RefusalReason.CANCELLED, executed=Executed.UNKNOWN)
         self._remaining_bytes -= len(part)
@@ -58,45 +66,63 @@
     """Listener for callers and for heartbeats.
 
     While ``closing`` is set, each response closes its connection, so that callers
-    connect to another daemon.
+    connect to another daemon. ``memory`` holds the bodies of calls without a response;
+    one that is incomplete after ``body_seconds`` is refused. ``max_connections`` and
+    ``max_refused`` are those of ``HttpServer``.
     """
 
     def __init__(
-        self, *, handle_call: HandleCall, apply_heartbeat: ApplyHeartbeat, max_body: int
+        self,
+        *,
+        handle_call: HandleCall,
+        apply_heartbeat: ApplyHeartbeat,
+        max_body: int,
+        body_seconds: float,
+        memory: BodyMemory,
+        max_connections: int,
+        max_refused: int,
+        turns: ReadingTurns,
     ) -> None:
         self._handle_call = handle_call
         self._apply_heartbeat = apply_heartbeat
         self._max_body = max_body
-        self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._body_seconds = body_seconds
+        self._memory = memory
+        self._max_connections, self._max_refused = max_connections, max_refused
+        self._turns = turns
+        self._server: HttpServer | None = None
         self.closing = False
 
     async def start(self, address: str) -> None:
         """Listen on ``address`` (``host:port``)."""
-        server = HttpServer(
-            self._handle,
+        self._server = HttpServer(
+            self._handle_and_release,
             refuse=self._refuse,
-            access_log=None,
+            max_connections=self._max_connections,
+            max_refused=self._max_refused,
+            turns=self._turns,
             max_line_size=MAX_HEADER_FIELD_BYTES,
             max_field_size=MAX_HEADER_FIELD_BYTES,
             # Cancels the call when its caller closes the connection.
             handler_cancellation=True,
         )
-        self._runner = web.ServerRunner(server)
-        await self._runner.setup()
-        host, _, port = address.partition(":")
-        self._site = web.TCPSite(self._runner, host, int(port), backlog=1024)
-        await self._site.start()
+        self._server.listen(address)
 
     async def stop_listening(self) -> None:
         """Accept no further connections; open ones stay open."""
-        if self._site is not None:
-            await self._site.stop()
+        if self._server is not None:
+            self._server.close_listener()
 
     async def close(self) -> None:
         """Stop listening and wait for open connections to finish."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.close()
+
+    async def _handle_and_release(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await self._handle(request)
+        finally:
+            self._memory.release(request.protocol)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith(HEARTBEAT_PATH_PREFIX):
@@ -153,12 +179,29 @@
         length = request.content_length
         if length is not None and length > self._max_body:
             return _too_large(self._max_body)
-        if length is None or length > MAX_BUFFERED_BODY_BYTES:
+        is_streamed = length is None or length > MAX_BUFFERED_BODY_BYTES
+        # A connection serves one call at a time.
+        holder = request.protocol
+        self._memory.begin(holder, lambda: _abort_slow_body(request))
+        held = STREAMED_BODY_BYTES if length is None or is_streamed else length
+        if not self._memory.try_hold(holder, held):
+            return Refusal(
+                reason=RefusalReason.NO_MEMORY,
+                executed=Executed.NO,
+                retry_after=RETRY_BODY_SECONDS,
+            )
+        if is_streamed:
             return RequestBody(request=request, limit=self._max_body)
         try:
-            return await request.content.read(-1)
+            with receiving_body(request):
+                async with asyncio.timeout(self._body_seconds):
+                    body = await request.content.read(-1)
+        except TimeoutError:
+            return Refusal(reason=RefusalReason.DEADLINE_EXCEEDED, executed=Executed.NO)
         except (OSError, web.HTTPException, ValueError):
             return _malformed("the body is shorter than its Content-Length")
+        self._memory.complete(holder)
+        return body
 
     def _refuse(self, refusal: Refusal) -> web.Response:
         metrics.CALLS_REFUSED.labels(refusal.reason.value, refusal.executed.value).inc()
@@ -242,6 +285,12 @@
         request.transport.abort()
 
 
+def _abort_slow_body(request: web.BaseRequest) -> None:
+    """Close the connection of a call whose body holds memory that others need."""
+    metrics.MESH_CLIENTS_DROPPED.labels("slow_body").inc()
+    _abort_connection(request)
+
+
 def _is_utf8(path: str, headers: Headers) -> bool:
     """Return whether path and header values can be encoded as UTF-8.
 
--- a/src/cassiasail/_internal/transport/peers.py
+++ b/src/cassiasail/_internal/transport/peers.py
@@ -7,16 +7,15 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NewType
 
 from absl import logging
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed, WebSocketException
-from websockets.http11 import Request, Response
 
 from .. import metrics
 from ..ids import DaemonId, Region
@@ -291,52 +290,6 @@
                 del self._connection_by_address[address]
 
 
-async def start_listener(
-    address: str, *, local: LocalPeer, control: ControlLinks, calls: CallPool
-) -> Server:
-    """Listen for peers on ``address`` (``host:port``)."""
-    serve_by_path: dict[str, Callable[[ServerConnection], Awaitable[None]]] = {
-        CONTROL_PATH: control.serve,
-        CALLS_PATH: calls.serve,
-    }
-
-    async def handle(connection: ServerConnection) -> None:
-        path = connection.request.path if connection.request else ""
-        handler = serve_by_path.get(path)
-        if handler is None:
-            metrics.MESSAGES_REFUSED.labels("unknown_path").inc()
-            return
-        await handler(connection)
-
-    def refuse_while_link_is_cut(
-        connection: ServerConnection, request: Request
-    ) -> Response | None:
-        other_region = request.headers.get(REGION_HEADER, "") != local.region
-        if local.link.is_cut and other_region:
-            return connection.respond(503, "the emulated link is cut\n")
-        return None
-
-    def add_region(
-        connection: ServerConnection, request: Request, response: Response
-    ) -> None:
-        # A daemon that connects to a seed address learns the region from this header.
-        response.headers[REGION_HEADER] = local.region
-
-    host, _, port = address.partition(":")
-    return await serve(
-        handle,
-        host,
-        int(port),
-        compression=None,
-        max_size=MAX_CONTROL_MESSAGE_BYTES,
-        ping_interval=None,
-        close_timeout=0.5,
-        server_header=None,
-        process_request=refuse_while_link_is_cut,
-        process_response=add_region,
-    )
-
-
 async def dial(
     address: str, path: str, local: LocalPeer, max_size: int
 ) -> Connection | None:
