Let clients and signals of the soak misbehave in series

The soak had neither clients that use a connection until it is gone, nor several stops of one daemon amid reloads and new configurations, nor clients that take descriptors and time for parsing.

--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -44,6 +44,8 @@
 # Names of further signals to a daemon that is stopping; none of them changes anything.
 SIGNALS_WHILE_STOPPING = ((), ("SIGHUP",), ("SIGTERM", "SIGHUP", "SIGTERM"))
 SIGNAL_INTERVAL_SECONDS = 0.1
+# Longest time until a daemon that was started is ready, also on a busy machine.
+MAX_START_SECONDS = 20.0
 TARGET_BEHAVIOURS = ("slow", "fails", "loses", "truncates")
 
 Fault = Callable[[SoakWorld, Sequence[SoakVm], float, Any], Awaitable[None]]
@@ -149,6 +151,25 @@
         await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
 
 
+async def restart_in_series(
+    world: SoakWorld, vms: Sequence[SoakVm], seconds: float, restarts: int
+) -> None:
+    """Stop and start a daemon several times amid reloads and new configurations.
+
+    Planned; clients come back between two stops, and signals overlap with the changes.
+    """
+    (vm,) = vms
+    changes = asyncio.create_task(change_configuration(world, vms, seconds, restarts))
+    await vm.sidecar.wait_until_ready(MAX_START_SECONDS)
+    for _ in range(restarts):
+        for retry_slack in (60, 62):
+            await reload_settings(world, vms, seconds, retry_slack)
+            await asyncio.sleep(SIGNAL_INTERVAL_SECONDS)
+        await stop_daemon(world, vms, 0.0, SIGNALS_WHILE_STOPPING[-1])
+        await vm.sidecar.wait_until_ready(MAX_START_SECONDS)
+    await changes
+
+
 async def drain_target(
     world: SoakWorld, vms: Sequence[SoakVm], seconds: float, id_of_next: str
 ) -> None:
@@ -259,6 +280,12 @@
     ]
     * 3,
     FaultKind(run=reload_settings, options=(60, 62), most_seconds=0.0),
+    FaultKind(
+        run=restart_in_series,
+        options=(2, 3),
+        most_seconds=0.0,
+        more_seconds=2 * (USUAL_STOP_SECONDS + RESTART_SECONDS),
+    ),
     *[
         FaultKind(
             run=change_configuration,
--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import closing, contextmanager
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -36,7 +36,11 @@
 CLIENTS_PER_VM = 3
 # Mean pause of a client between two requests, and interval of the version probes.
 MEAN_CLIENT_PAUSE_SECONDS = 0.08
+# With more VMs clients pause for longer, since one process plays all of them.
+VMS_AT_FULL_RATE = 8
 PROBE_INTERVAL_SECONDS = 0.25
+# Few enough that the connections of hostile clients reach the limit.
+MAX_FDS = 256
 SUPERVISION_INTERVAL_SECONDS = 0.1
 CLIENT_TIMEOUT_SECONDS = 4.0
 # Planned work counts as undisturbed when the last unplanned fault ended this long
@@ -60,6 +64,7 @@
 
     def __init__(self, *, store: PlatformStore, name: str, service: str) -> None:
         self.sidecar = Sidecar(store=store, name=name, service=service)
+        self.sidecar.max_fds = MAX_FDS
         self.name = name
         self.daemon_incarnation = 0
         self.seen_version = 0
@@ -133,6 +138,7 @@
             for number in range(CLIENTS_PER_VM):
                 self._tasks.append(asyncio.create_task(self._run_client(vm, number)))
             self._tasks.append(asyncio.create_task(self._run_pipelining_client(vm)))
+            self._tasks.append(asyncio.create_task(self._run_persistent_client(vm)))
 
     async def stop(self) -> None:
         """Stop everything that was started."""
@@ -201,9 +207,7 @@
         pool = ConnectionPool(connect_timeout=1, ack_timeout=3, idle_timeout=10)
         count = 0
         while True:
-            await asyncio.sleep(
-                self.traffic_random.uniform(0, 2 * MEAN_CLIENT_PAUSE_SECONDS)
-            )
+            await self._pause()
             count += 1
             service = self.traffic_random.choice((*SERVICES, "orders"))
             sent = Attempt(
@@ -249,7 +253,7 @@
         """Send safe requests without waiting for the responses to earlier ones."""
         count = 0
         while True:
-            await asyncio.sleep(self.traffic_random.uniform(0, 0.3))
+            await self._pause()
             connection = await pipelining.connect(vm.sidecar.address_by_use["outbound"])
             if connection is None:
                 continue
@@ -279,6 +283,41 @@
                 self._record_lost(vm, self.ledger.sent[attempt_id])
             connection.close()
 
+    async def _run_persistent_client(self, vm: SoakVm) -> None:
+        """Use each connection until the daemon ends it, whatever it announces."""
+        count = 0
+        while True:
+            await self._pause()
+            connection = await pipelining.connect(vm.sidecar.address_by_use["outbound"])
+            if connection is None:
+                continue
+            with closing(connection):
+                while not connection.unanswered:
+                    await self._pause()
+                    count += 1
+                    sent = Attempt(
+                        attempt_id=f"{vm.name}-persistent-{count}",
+                        service="two",
+                        safe=True,
+                        vm=vm.name,
+                        sent_at=self._loop.time(),
+                        # The daemon need not answer behind its last response.
+                        is_probe=connection.closing,
+                    )
+                    self.ledger.sent[sent.attempt_id] = sent
+                    connection.send(sent.attempt_id, "/two/x", 3000)
+                    async for _, status, body in connection.responses():
+                        sent.status = status
+                        sent.response_valid = (
+                            status != 200 or body == body_of(sent.attempt_id).encode()
+                        )
+                    if not sent.status:
+                        self._record_lost(vm, sent)
+
+    async def _pause(self) -> None:
+        mean = MEAN_CLIENT_PAUSE_SECONDS * max(1.0, len(self.vms) / VMS_AT_FULL_RATE)
+        await asyncio.sleep(self.traffic_random.uniform(0, 2 * mean))
+
     def _draws_long_request(self) -> bool:
         """Draw a long request; none is sent when requests are judged at the end."""
         judged = self.ledger.judged_from != float("inf")
--- a/tests/unit/test_soak_schedule.py
+++ b/tests/unit/test_soak_schedule.py
@@ -5,7 +5,7 @@
 import pytest
 
 from devtools.soak.faults import FAULTS
-from devtools.soak.hostile_clients import draw_groups
+from devtools.soak.hostile_clients import BEHAVIOURS, CONNECTIONS, draw_groups
 from devtools.soak.schedule import MAX_OVERLAPPING, draw_schedule
 
 SEEDS = range(1, 30)
@@ -54,9 +54,8 @@
     before = [str(each) for each in draw_groups(7, seconds=20.0, vms=5)]
     random.random()
     assert [str(each) for each in draw_groups(7, seconds=20.0, vms=5)] == before
-    behaviours = {
-        group.behaviour
-        for seed in SEEDS
-        for group in draw_groups(seed, seconds=20.0, vms=5)
-    }
-    assert len(behaviours) == 4
+    groups = [
+        group for seed in SEEDS for group in draw_groups(seed, seconds=20.0, vms=5)
+    ]
+    assert {group.behaviour for group in groups} == set(BEHAVIOURS)
+    assert {group.connections for group in groups} == set(CONNECTIONS)
