Share a small memory among the listeners for platform and operators

Each of the three had 24 MB for bodies and 24 MB for responses of its own, which together with the others exceed the memory of a small VM. They share 4 MB of each now.

The size of a response is set before it is counted: a connection that gave way in that moment counted it twice as released.

--- a/src/cassiasail/_internal/sidecar/runtime.py
+++ b/src/cassiasail/_internal/sidecar/runtime.py
@@ -111,6 +111,8 @@
 BYTES_PER_MEGABIT = 125_000
 # Requests behind others may use this share of the connections to hosts.
 PIPELINED_SHARE = 0.5
+# Memory for requests of the platform and operators, and as much for their responses.
+MAX_SERVICE_BYTES = 4 << 20
 # Requests of the platform or of an operator that one connection may have unanswered.
 MAX_SERVICE_REQUESTS = 16
 # The text of the metrics is made again only if that takes at most this share of the
@@ -303,10 +305,15 @@
             turns=turns,
         )
 
+        service_memory = BodyMemory(limit=MAX_SERVICE_BYTES)
+        service_unsent = UnsentResponses(limit=MAX_SERVICE_BYTES)
+
         def service_server(handler: Handler) -> HttpServer:
             return HttpServer(
                 handler=handler,
                 limits=_default_limits,
+                memory=service_memory,
+                unsent=service_unsent,
                 max_connections=descriptors.service,
                 max_refused=descriptors.refused,
                 max_pipelined=0,
--- a/src/cassiasail/_internal/transport/http1/response_sender.py
+++ b/src/cassiasail/_internal/transport/http1/response_sender.py
@@ -91,9 +91,8 @@
         stalled_for = self._loop.time() - self._progress_at
         return now > 0 and stalled_for < self._service.limits().idle_seconds
 
-    def hold(self, response: HttpResponse) -> int:
-        """Count a response that is ready to be sent; return its counted size."""
-        size = len(response.body)
+    def hold(self, size: int) -> None:
+        """Count a response of ``size`` bytes that is ready to be sent."""
         self._service.unsent.hold(
             self,
             size,
@@ -101,14 +100,13 @@
             is_waiting=lambda: self._sending is None and self._is_waiting(),
             shed=self._shed_waiting,
         )
-        return size
 
     def send(
         self, response: HttpResponse, *, method: bytes, close: bool, size: int | None
     ) -> bool:
         """Send ``response``; return whether all of it was handed to the transport.
 
-        ``size`` is what ``hold`` returned for it, None if it was not called.
+        ``size`` is the one given to ``hold`` for it, None if it is not counted.
         """
         head, body = encode_response_parts(
             response,
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -14,8 +14,12 @@
 from ... import metrics
 from ...protocol.http1 import Header, HttpRequest, HttpResponse
 from ..connection_table import Activity, ConnectionState
-from .exchange_queue import MAX_PIPELINED as MAX_PIPELINED
-from .exchange_queue import Exchange, ExchangeQueue, UnansweredRequest
+from .exchange_queue import (
+    MAX_PIPELINED,
+    Exchange,
+    ExchangeQueue,
+    UnansweredRequest,
+)
 from .partial_request import PartialRequest, RejectedError
 from .response_sender import RECEIVED_CHECK_FRACTION, ResponseSender
 from .service import HttpService
@@ -291,7 +295,8 @@
     def _finish(self, exchange: Exchange) -> None:
         """Send the response of ``exchange``, or hold it until it is due."""
         if exchange.response is not None and self._sender and not self._closing:
-            exchange.unsent_size = self._sender.hold(exchange.response)
+            exchange.unsent_size = len(exchange.response.body)
+            self._sender.hold(exchange.unsent_size)
         self._write_finished()
 
     def abort(self) -> None:
