Tell refused clients times at the measured rate from the start

The assumed first rate had decayed before the first client was refused, which left a fifth of a second between two of them.

--- a/src/cassiasail/_internal/state/return_schedule.py
+++ b/src/cassiasail/_internal/state/return_schedule.py
@@ -2,15 +2,13 @@
 
 import math
 
-# The most that clients are told, in seconds. Those with longer waits would rather not
-# be told a time at which many others return as well.
+# Bounds of what clients are told, in seconds.
 MAX_RETURN_SECONDS = 2.0
 MIN_RETURN_SECONDS = 0.1
-# The rate at which room is assumed to become free while nothing is known, and the time
-# over which it is measured.
-FIRST_RATE = 20.0
+# Time over which the rate is measured at which places become free, and the places a
+# second that are assumed at least.
 RATE_WINDOW_SECONDS = 2.0
-MIN_RATE = 5.0
+MIN_RATE = 20.0
 
 
 class ReturnSchedule:
@@ -26,7 +24,7 @@
     """
 
     def __init__(self) -> None:
-        self._rate = FIRST_RATE
+        self._rate = 0.0
         self._updated_at = 0.0
         self._next_at = 0.0
 
--- a/src/cassiasail/_internal/transport/http_server.py
+++ b/src/cassiasail/_internal/transport/http_server.py
@@ -26,8 +26,10 @@
 IDLE_SECONDS = 75.0
 # A connection is closed if a head is incomplete, or if its client takes no byte of a
 # response, for this long.
-HELD_UP_SECONDS = 15.0
+MAX_HELD_UP_SECONDS = 15.0
 SWEEP_SECONDS = 1.0
+# Calls that are still running when the server closes are cancelled after this time.
+SHUTDOWN_SECONDS = 60.0
 
 
 class _Connection(web.RequestHandler):
@@ -234,7 +236,7 @@
         """Stop listening and wait for open connections to finish."""
         self.close_listener()
         self.pre_shutdown()
-        await self.shutdown()
+        await self.shutdown(SHUTDOWN_SECONDS)
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
 
@@ -284,6 +286,6 @@
         for connection in self._table.connections + self._refused.connections:
             state = connection.state()
             may_last = state.activity in (Activity.RECEIVING_HEAD, Activity.BLOCKED)
-            if may_last and now - state.since > HELD_UP_SECONDS:
+            if may_last and now - state.since > MAX_HELD_UP_SECONDS:
                 metrics.MESH_CLIENTS_DROPPED.labels("stalled").inc()
                 connection.abort()
--- a/tests/unit/mesh/test_http1_hangup.py
+++ b/tests/unit/mesh/test_http1_hangup.py
@@ -7,8 +7,8 @@
 import pytest
 
 from cassiasail._internal.protocol.http1 import HttpRequest, HttpResponse
+from cassiasail._internal.transport.http1.exchange_queue import MAX_PIPELINED
 from cassiasail._internal.transport.http1.server import HttpServer
-from cassiasail._internal.transport.http1.server_connection import MAX_PIPELINED
 from tests.unit.mesh.test_http1_server import GET, LIMITS, listening_port
 
 # Far below the time for which the handlers would run.
