Accept for both interfaces in one place

Cause: the two HTTP servers each decided in the same lines whether a new connection is refused, which table it counts in and which one is closed for it.

Change: LimitedListener holds the listener and both tables; the servers only create their connections. The aiohttp server no longer overrides the factory, which nothing called but itself, and a connection always has its reader. Behaviour is as before.

--- a/src/cassiasail/_internal/transport/http1/server.py
+++ b/src/cassiasail/_internal/transport/http1/server.py
@@ -5,8 +5,8 @@
 
 from ...protocol.http1 import HttpRequest, HttpResponse
 from ...state.mesh_config import ClientLimits
-from ..connection_table import HELD_UP_SECONDS, ConnectionTable
-from ..listener import Listener
+from ..connection_table import HELD_UP_SECONDS
+from ..limited_listener import LimitedListener
 from ..reading_turns import PacedReader, ReadingTurns
 from .exchange_queue import UnansweredRequest
 from .link_pacer import LinkPacer
@@ -77,16 +77,17 @@
             outcome_unknown=outcome_unknown,
         )
         self._turns = turns or ReadingTurns()
-        self._table = ConnectionTable[ServerConnection](
-            limit=max_connections, held_up_seconds=held_up_seconds
+        self._listener = LimitedListener[ServerConnection](
+            create=self._create,
+            max_connections=max_connections,
+            max_refused=max_refused,
+            held_up_seconds=held_up_seconds,
         )
-        self._refused = ConnectionTable[ServerConnection](limit=max_refused)
-        self._listener = Listener(accept=self._accept, close_one=self._table.close_one)
 
     @property
     def connections(self) -> tuple[ServerConnection, ...]:
         """The open connections."""
-        return self._table.connections + self._refused.connections
+        return self._listener.connections
 
     @property
     def port(self) -> int:
@@ -114,20 +115,14 @@
         """Listen on ``host`` and ``port``."""
         self._listener.start(host, port)
 
-    def _accept(self) -> PacedReader:
-        """Return the protocol of a new connection; close others if there are many."""
-        refused = not self._table.make_room()
-        if refused and not self._refused.make_room():
-            self._refused.close_oldest()
+    def _create(self, refused: bool) -> tuple[ServerConnection, PacedReader]:
         connection = ServerConnection(
             service=self._service, closed=self._close, refused=refused
         )
-        (self._refused if refused else self._table).add(connection)
-        return PacedReader(protocol=connection, turns=self._turns)
+        return connection, PacedReader(protocol=connection, turns=self._turns)
 
     def _close(self, connection: ServerConnection) -> None:
-        self._table.discard(connection)
-        self._refused.discard(connection)
+        self._listener.discard(connection)
         self._service.returns.record_free(asyncio.get_running_loop().time())
 
     def drain(self) -> None:
--- a/src/cassiasail/_internal/transport/http_server.py
+++ b/src/cassiasail/_internal/transport/http_server.py
@@ -15,8 +15,8 @@
 
 from .. import metrics
 from ..state.refusals import Executed, Refusal, RefusalReason
-from .connection_table import Activity, ConnectionState, ConnectionTable
-from .listener import Listener
+from .connection_table import Activity, ConnectionState
+from .limited_listener import LimitedListener
 from .reading_turns import PacedReader, ReadingTurns
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -54,6 +54,8 @@
     closed: Callable[["_Connection"], None]
     # Beyond the limit of connections: all requests are refused.
     refused: bool
+    # What hands the connection its bytes.
+    reader: PacedReader
 
     def __init__(self, manager: web.Server, **options: Any) -> None:
         super().__init__(manager, **options)
@@ -68,7 +70,6 @@
         self._aborted = False
         # Whether aiohttp has paused reading, as a body is not taken.
         self._has_paused = False
-        self.reader: PacedReader | None = None
 
     def state(self) -> ConnectionState:
         """Return what the connection is doing."""
@@ -154,11 +155,8 @@
             return
         self._has_paused = False
         resume = super().resume_reading
-        if self.reader is None:
-            resume(resume_parser)
-        else:
-            # The parser continues with the bytes that it holds back.
-            self.reader.measure(lambda: resume(resume_parser))
+        # The parser continues with the bytes that it holds back.
+        self.reader.measure(lambda: resume(resume_parser))
 
     def handle_error(
         self,
@@ -217,9 +215,11 @@
         self._handler = handler
         self._refuse = refuse
         self._turns = turns or ReadingTurns()
-        self._table = ConnectionTable[_Connection](limit=max_connections)
-        self._refused = ConnectionTable[_Connection](limit=max_refused)
-        self._listener = Listener(accept=self._accept, close_one=self._table.close_one)
+        self._listener = LimitedListener[_Connection](
+            create=self._create,
+            max_connections=max_connections,
+            max_refused=max_refused,
+        )
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     def listen(self, address: str) -> None:
@@ -240,27 +240,13 @@
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
 
-    def __call__(self) -> web.RequestHandler:
+    def _create(self, refused: bool) -> tuple[_Connection, PacedReader]:
         connection = _Connection(self, loop=self._loop, **self._kwargs)
         connection.refuse = self._refuse
-        connection.closed = self._discard
-        connection.refused = False
-        return connection
-
-    def _accept(self) -> PacedReader:
-        refused = not self._table.make_room()
-        if refused and not self._refused.make_room():
-            self._refused.close_oldest()
-        connection = self()
-        assert isinstance(connection, _Connection)
+        connection.closed = self._listener.discard
         connection.refused = refused
-        (self._refused if refused else self._table).add(connection)
         connection.reader = PacedReader(protocol=connection, turns=self._turns)
-        return connection.reader
-
-    def _discard(self, connection: _Connection) -> None:
-        self._table.discard(connection)
-        self._refused.discard(connection)
+        return connection, connection.reader
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
@@ -283,7 +269,7 @@
         """Close the connections that are held up for too long."""
         self._sweep_timer = self._loop.call_later(SWEEP_SECONDS, self._sweep)
         now = self._loop.time()
-        for connection in self._table.connections + self._refused.connections:
+        for connection in self._listener.connections:
             state = connection.state()
             may_last = state.activity in (Activity.RECEIVING_HEAD, Activity.BLOCKED)
             if may_last and now - state.since > MAX_HELD_UP_SECONDS:
