Simplify the counting of open connections and the end of an exchange

A set of tokens replaces a counter with a flag for each connection: a token can be removed twice. TimeoutError is an OSError, so one branch serves both. The caller of pop_first has checked that the first exchange is done. Behaviour is as before.

--- a/src/cassiasail/_internal/transport/admin_http.py
+++ b/src/cassiasail/_internal/transport/admin_http.py
@@ -55,8 +55,9 @@
         self._cut_link = cut_link
         self._max_connections, self._max_refused = max_connections, max_refused
         self._turns = turns
-        metrics_page = RationedPage(render=metrics.REGISTRY.text, share=PAGE_SHARE)
-        self._metrics_page = metrics_page
+        self._metrics_page = RationedPage(
+            render=metrics.REGISTRY.text, share=PAGE_SHARE
+        )
         self._handler_by_path: dict[tuple[str, str], PageHandler] = {
             ("GET", "/metrics"): self._get_metrics,
             ("GET", "/healthz"): self._get_health,
--- a/src/cassiasail/_internal/transport/http1/client.py
+++ b/src/cassiasail/_internal/transport/http1/client.py
@@ -341,17 +341,12 @@
                 host,
                 port,
             )
-    except TimeoutError:
-        return ExchangeFailed(reason=FailureReason.CONNECT_FAILED, sent=False)
-    except OSError as error:
-        # Without a descriptor nothing is known about the server.
-        lacks_descriptor = error.errno in (errno.EMFILE, errno.ENFILE)
-        return ExchangeFailed(
-            reason=FailureReason.NO_DESCRIPTOR
-            if lacks_descriptor
-            else FailureReason.CONNECT_FAILED,
-            sent=False,
-        )
+    except OSError as error:  # TimeoutError is one as well.
+        reason = FailureReason.CONNECT_FAILED
+        if error.errno in (errno.EMFILE, errno.ENFILE):
+            # Nothing is known about the server.
+            reason = FailureReason.NO_DESCRIPTOR
+        return ExchangeFailed(reason=reason, sent=False)
     tcp_socket = transport.get_extra_info("socket")
     if tcp_socket is not None:
         set_ack_timeout(tcp_socket, ack_timeout)
--- a/src/cassiasail/_internal/transport/http1/exchange_queue.py
+++ b/src/cassiasail/_internal/transport/http1/exchange_queue.py
@@ -115,10 +115,8 @@
             exchange.is_pipelined = position > 0
             exchange.task = self._loop.create_task(self._handle(exchange))
 
-    def pop_done(self) -> Exchange | None:
-        """Remove and return the first exchange if its response is ready."""
-        if not self._exchanges or not self._exchanges[0].done:
-            return None
+    def pop_first(self) -> Exchange:
+        """Remove and return the first exchange, and release the memory it holds."""
         exchange = self._exchanges.popleft()
         exchange.release_memory()
         return exchange
--- a/src/cassiasail/_internal/transport/http1/pool.py
+++ b/src/cassiasail/_internal/transport/http1/pool.py
@@ -59,8 +59,8 @@
         self._pacer = pacer
         self._max_connections = max_connections
         self._use = use
-        # Connections that are open or being opened.
-        self._connections = 0
+        # One token for each connection that is open or being opened.
+        self._open_tokens: set[object] = set()
         self._memory = memory or BodyMemory(limit=MAX_RESPONSE_BODIES_BYTES)
         self._connect_timeout = connect_timeout
         self._ack_timeout = ack_timeout
@@ -111,15 +111,8 @@
         if not self._make_room():
             metrics.MESH_CONNECTIONS_REFUSED.labels(self._use).inc()
             return ExchangeFailed(reason=FailureReason.NO_DESCRIPTOR, sent=False)
-        self._connections += 1
-        is_counted = True
-
-        def count_closed() -> None:
-            nonlocal is_counted
-            if is_counted:
-                is_counted = False
-                self._connections -= 1
-
+        token = object()
+        self._open_tokens.add(token)
         opened = await connect(
             address.host,
             address.port,
@@ -127,15 +120,16 @@
             ack_timeout=self._ack_timeout,
             memory=self._memory,
             pacer=self._pacer,
-            closed=count_closed,
+            closed=lambda: self._open_tokens.discard(token),
         )
         if isinstance(opened, ExchangeFailed):
-            count_closed()
+            self._open_tokens.discard(token)
         return opened
 
     def _make_room(self) -> bool:
         """Close the longest idle connection if the limit is reached; false without."""
-        if self._max_connections is None or self._connections < self._max_connections:
+        limit = self._max_connections
+        if limit is None or len(self._open_tokens) < limit:
             return True
         idle = [each for each in self._idle_by_address.values() if each]
         if not idle:
--- a/src/cassiasail/_internal/transport/http1/server_connection.py
+++ b/src/cassiasail/_internal/transport/http1/server_connection.py
@@ -316,8 +316,7 @@
                 return
             if sender.is_sending or sender.is_blocked:
                 return
-            exchange = self._exchanges.pop_done()
-            assert exchange is not None
+            exchange = self._exchanges.pop_first()
             if exchange.response is None:
                 transport.abort()
                 return
