--- a/devtools/soak/world.py
+++ b/devtools/soak/world.py
@@ -271,18 +271,20 @@
                     )
                     self.ledger.sent[sent.attempt_id] = sent
                     connection.send(sent.attempt_id, f"/{service}/x", LONG_TIMEOUT_MS)
-                async for attempt_id, status, body in connection.responses():
-                    sent = self.ledger.sent[attempt_id]
-                    sent.status = status
-                    sent.response_valid = (
-                        status != 200 or body == body_of(attempt_id).encode()
-                    )
+                await self._receive(connection)
                 if connection.unanswered or connection.closing:
                     break
             for attempt_id in connection.unanswered:
                 self._record_lost(vm, self.ledger.sent[attempt_id])
             connection.close()
 
+    async def _receive(self, connection: pipelining.PipeliningConnection) -> None:
+        """Record the responses to all requests of ``connection``."""
+        async for attempt_id, status, body in connection.responses():
+            sent = self.ledger.sent[attempt_id]
+            sent.status = status
+            sent.response_valid = status != 200 or body == body_of(attempt_id).encode()
+
     async def _run_persistent_client(self, vm: SoakVm) -> None:
         """Use each connection until the daemon ends it, whatever it announces."""
         count = 0
@@ -306,11 +308,7 @@
                     )
                     self.ledger.sent[sent.attempt_id] = sent
                     connection.send(sent.attempt_id, "/two/x", 3000)
-                    async for _, status, body in connection.responses():
-                        sent.status = status
-                        sent.response_valid = (
-                            status != 200 or body == body_of(sent.attempt_id).encode()
-                        )
+                    await self._receive(connection)
                     if not sent.status:
                         self._record_lost(vm, sent)
 
