--- a/tests/functional/promises/test_misbehaving_callers.py
+++ b/tests/functional/promises/test_misbehaving_callers.py
@@ -6,11 +6,9 @@
 """
 
 import asyncio
-import re
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import aiohttp
 
@@ -18,6 +16,8 @@
 from devtools.processes import LayoutProcesses
 from devtools.quickstart import run_cli_checked
 from devtools.reservations import reserve_net
+from tests.lib.sidecar_mesh import process_memory_kb
+from tests.lib.uncontrolled import QUIET_SECONDS, send
 
 from .fleet import CUSTOMERS, PLANS
 
@@ -29,7 +29,6 @@
 MAX_GROWTH_KB = 64 << 10
 IDLE_CALLERS = 400
 CHUNKING_CALLERS, CHUNKS_AT_ONCE = 60, 20_000
-SEND_SECONDS = 1.0
 # The daemon limits its own descriptors before its start, as an operator would.
 LIMITED_DAEMON = (
     "-c",
@@ -51,10 +50,7 @@
 
     def memory_kb(self) -> int:
         """Return the highest resident memory so far in kilobytes."""
-        path = Path(f"/proc/{self._processes.pid(self._name)}/status")
-        match = re.search(r"^VmHWM:\s+(\d+) kB", path.read_text(), re.MULTILINE)
-        assert match is not None
-        return int(match[1])
+        return process_memory_kb(self._processes.pid(self._name), "VmHWM")
 
     async def connect(self, address: str | None = None) -> socket.socket:
         """Return a connection of a caller, by default to the listener for callers."""
@@ -134,16 +130,6 @@
         await processes.stop()
 
 
-async def send(caller: socket.socket, data: bytes) -> bool:
-    """Send ``data``; false if the daemon has closed the connection or reads no more."""
-    try:
-        async with asyncio.timeout(SEND_SECONDS):
-            await asyncio.get_running_loop().sock_sendall(caller, data)
-    except (OSError, TimeoutError):
-        return False
-    return True
-
-
 def head(*more: str) -> bytes:
     lines = (
         "POST /outlook-svc/outlooks/x HTTP/1.1",
@@ -171,7 +157,7 @@
         callers = [await daemon.connect() for _ in range(UNFINISHED_BODIES)]
         data = head(f"Content-Length: {BODY_BYTES + 1}") + bytes(BODY_BYTES)
         await asyncio.gather(*(send(caller, data) for caller in callers))
-        await asyncio.sleep(SEND_SECONDS)
+        await asyncio.sleep(QUIET_SECONDS)
         assert daemon.memory_kb() - before < MAX_GROWTH_KB
         assert await daemon.ordinary_status() == 200
         for caller in callers:
@@ -186,7 +172,7 @@
     async def main(daemon: Daemon) -> None:
         for address in daemon.addresses:
             callers = [await daemon.connect(address) for _ in range(IDLE_CALLERS)]
-            await asyncio.sleep(SEND_SECONDS)
+            await asyncio.sleep(QUIET_SECONDS)
             for _ in range(3):
                 assert await daemon.ordinary_status() == 200
             for caller in callers:
@@ -222,7 +208,7 @@
     async def main(daemon: Daemon) -> None:
         callers = [await daemon.connect() for _ in range(CHUNKING_CALLERS)]
         senders = [asyncio.create_task(send_chunks(caller)) for caller in callers]
-        await asyncio.sleep(SEND_SECONDS)
+        await asyncio.sleep(QUIET_SECONDS)
         for _ in range(5):
             assert await daemon.ordinary_status() == 200
         for sender in senders:
--- a/tests/functional/sidecar/test_endless_answers.py
+++ b/tests/functional/sidecar/test_endless_answers.py
@@ -1,7 +1,6 @@
 """Targets and daemons that send a head or a body without end to real daemons."""
 
 import asyncio
-import re
 from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
@@ -14,6 +13,7 @@
     RawRequest,
     RawTargetSidecar,
     answer_of_target,
+    memory_kb,
     plain_sidecars,
     run,
     sidecar_mesh,
@@ -33,15 +33,6 @@
 CLOSE_SECONDS = 2.0
 
 
-def memory_kb(sidecar: Sidecar, field: str) -> int:
-    """Return ``VmRSS`` or ``VmHWM`` (its highest value) of the daemon in kilobytes."""
-    assert sidecar.process is not None
-    status = Path(f"/proc/{sidecar.process.pid}/status").read_text()
-    match = re.search(rf"^{field}:\s+(\d+) kB", status, re.MULTILINE)
-    assert match is not None
-    return int(match.group(1))
-
-
 class EndlessAnswers:
     """A raw handler that answers paths with a number in their end without end.
 
--- a/tests/lib/sidecar_mesh.py
+++ b/tests/lib/sidecar_mesh.py
@@ -1,6 +1,7 @@
 """Sidecar processes with targets, peer daemons and links that misbehave on request."""
 
 import asyncio
+import re
 from collections import defaultdict
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
@@ -85,6 +86,20 @@
     return -1 if result.sent else 0
 
 
+def process_memory_kb(pid: int, field: str) -> int:
+    """Return ``VmRSS`` or ``VmHWM`` (its highest value) of a process in kilobytes."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    match = re.search(rf"^{field}:\s+(\d+) kB", status, re.MULTILINE)
+    assert match is not None
+    return int(match.group(1))
+
+
+def memory_kb(sidecar: Sidecar, field: str) -> int:
+    """Return ``process_memory_kb`` of the daemon."""
+    assert sidecar.process is not None
+    return process_memory_kb(sidecar.process.pid, field)
+
+
 def run(main: Callable[[], Awaitable[None]]) -> None:
     """Run ``main`` in an event loop of its own."""
     asyncio.run(main())  # type: ignore[arg-type]
--- a/tests/lib/uncontrolled.py
+++ b/tests/lib/uncontrolled.py
@@ -10,8 +10,7 @@
 from cassiasail._internal.protocol.exchanges import Address
 from cassiasail._internal.protocol.http1 import HttpResponse
 from devtools.platform_stand_in import PlatformStore, Sidecar
-from tests.functional.sidecar.test_endless_answers import memory_kb
-from tests.lib.sidecar_mesh import sidecar_mesh
+from tests.lib.sidecar_mesh import memory_kb, sidecar_mesh
 
 # Limit in the settings of the daemon, far below that of the smallest VM.
 MEMORY_MB = 128
